--- /dev/null
+++ b/src/admin_state_p.h
@@ -0,0 +1,26 @@
+/// \file
+/// Readable state of a node as JSON, as the admin listener shows it.
+#pragma once
+
+#include "node_p.h"
+#include "peer_task_p.h"
+#include "slo_window_p.h"
+
+#include <nlohmann/json.hpp>
+
+namespace shallotlatch {
+
+nlohmann::json statusJson(const Node &N, const PeerStats &Peers);
+nlohmann::json hostsJson(const Node &N);
+nlohmann::json poolsJson(const Node &N);
+nlohmann::json targetsJson(const Node &N);
+nlohmann::json requestsJson(const Node &N);
+nlohmann::json quarantineJson(Node &N);
+nlohmann::json burnJson(const std::vector<SloBurn> &Burns);
+
+/// Who applied a configuration, from its meta member; "unknown" without one.
+std::string appliedBy(const nlohmann::json &ConfigBody);
+/// Claims of the key layout of \p Old are found under that of \p New.
+bool sameKeyLayout(const Config &Old, const Config &New);
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/crash_counts.cpp
@@ -0,0 +1,157 @@
+#include "crash_counts_p.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+static constexpr uint32_t SpreadCount = 3;
+static constexpr size_t MaxEntries = 4096;
+static constexpr uint32_t HalvesPerCrash = 2;
+
+CrashCounts::CrashCounts(NodeEnv &Env, Membership &Members)
+    : Env(Env), Members(Members) {}
+
+uint32_t CrashCounts::halves(const Entry &E) const {
+  uint32_t Sum = 0;
+  for (const auto &Item : E.Slots) {
+    Sum += Item.second.Epoch == E.Epoch ? Item.second.Halves : 0;
+  }
+  return Sum;
+}
+
+void CrashCounts::spread(const CrashCount &C) {
+  for (HostId Peer : this->Members.randomPeers(SpreadCount)) {
+    this->Env.to(Peer).CrashCounts.push_back(C);
+  }
+}
+
+void CrashCounts::raise(Fingerprint Print, uint32_t Halves, bool NewEpoch) {
+  Entry &E = this->Entries[Print];
+  E.Epoch += NewEpoch ? 1 : 0;
+  E.Changed = this->Env.Now;
+  CrashCount &Slot = E.Slots[this->Env.Self];
+  Slot.Print = Print;
+  Slot.Host = this->Env.Self;
+  Slot.Halves = Slot.Epoch == E.Epoch ? Slot.Halves + Halves : Halves;
+  Slot.Epoch = E.Epoch;
+  this->spread(Slot);
+}
+
+void CrashCounts::crashed(Fingerprint Print, bool AfterFirstToken) {
+  this->raise(Print, AfterFirstToken ? 1 : HalvesPerCrash, false);
+}
+
+void CrashCounts::completed(Fingerprint Print) {
+  auto It = this->Entries.find(Print);
+  if (It != this->Entries.end() && this->halves(It->second) > 0) {
+    this->raise(Print, 0, true);
+  }
+}
+
+void CrashCounts::clear(Fingerprint Print) { this->raise(Print, 0, true); }
+
+bool CrashCounts::quarantined(Fingerprint Print) const {
+  auto It = this->Entries.find(Print);
+  if (It == this->Entries.end() || !this->Env.Conf) {
+    return false;
+  }
+  return this->halves(It->second) >=
+         HalvesPerCrash * this->Env.Conf->Policy.PoisonCrashes;
+}
+
+void CrashCounts::onCount(const CrashCount &C) {
+  if (this->Entries.size() >= MaxEntries && this->Entries.count(C.Print) == 0) {
+    return;
+  }
+  Entry &E = this->Entries[C.Print];
+  CrashCount &Slot = E.Slots[C.Host];
+  bool Newer = !Slot.Print.isValid() || C.Epoch > Slot.Epoch ||
+               (C.Epoch == Slot.Epoch && C.Halves > Slot.Halves);
+  if (!Newer) {
+    return;
+  }
+  Slot = C;
+  E.Epoch = std::max(E.Epoch, C.Epoch);
+  E.Changed = this->Env.Now;
+  this->spread(C);
+}
+
+// Every host forgets on its own; a forgotten entry may come back from a peer
+// and is then forgotten again, a quarantine time later at the most.
+void CrashCounts::tick() {
+  if (!this->Env.Conf) {
+    return;
+  }
+  Duration Keep = this->Env.Conf->Policy.QuarantineTime;
+  for (auto It = this->Entries.begin(); It != this->Entries.end();) {
+    bool Old = this->Env.Now - It->second.Changed > Keep;
+    It = Old ? this->Entries.erase(It) : std::next(It);
+  }
+}
+
+void CrashCounts::noteTarget(TargetId Target, bool Leaving) {
+  TargetNote &N = this->Notes[Target];
+  if (N.Version != 0 ? N.Leaving == Leaving : !Leaving) {
+    return;
+  }
+  N.Target = Target;
+  ++N.Version;
+  N.Leaving = Leaving;
+  for (HostId Peer : this->Members.randomPeers(SpreadCount)) {
+    this->Env.to(Peer).TargetNotes.push_back(N);
+  }
+}
+
+void CrashCounts::onNote(const TargetNote &N) {
+  TargetNote &Mine = this->Notes[N.Target];
+  if (N.Version <= Mine.Version) {
+    return;
+  }
+  Mine = N;
+  for (HostId Peer : this->Members.randomPeers(SpreadCount)) {
+    this->Env.to(Peer).TargetNotes.push_back(N);
+  }
+}
+
+bool CrashCounts::leaving(TargetId Target) const {
+  auto It = this->Notes.find(Target);
+  return It != this->Notes.end() && It->second.Leaving;
+}
+
+uint64_t CrashCounts::digest() const {
+  uint64_t Sum = 0;
+  for (const auto &Item : this->Entries) {
+    for (const auto &Slot : Item.second.Slots) {
+      const CrashCount &C = Slot.second;
+      Sum += hashPair(hashPair(C.Print.Value, C.Host.Value),
+                      (uint64_t(C.Epoch) << 32) | C.Halves);
+    }
+  }
+  for (const auto &Item : this->Notes) {
+    Sum += hashPair(Item.first.Value, Item.second.Version);
+  }
+  return Sum;
+}
+
+void CrashCounts::sendAll(HostId To) {
+  PeerBatch &Batch = this->Env.to(To);
+  for (const auto &Item : this->Entries) {
+    for (const auto &Slot : Item.second.Slots) {
+      Batch.CrashCounts.push_back(Slot.second);
+    }
+  }
+  for (const auto &Item : this->Notes) {
+    Batch.TargetNotes.push_back(Item.second);
+  }
+}
+
+std::vector<CrashStats> CrashCounts::stats() const {
+  std::vector<CrashStats> All;
+  for (const auto &Item : this->Entries) {
+    All.push_back(CrashStats{Item.first, this->halves(Item.second),
+                             this->quarantined(Item.first)});
+  }
+  return All;
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/documents.cpp
@@ -0,0 +1,205 @@
+#include "documents_p.h"
+
+namespace shallotlatch {
+
+using nlohmann::json;
+
+static constexpr uint32_t ReadersPerRegion = 2;
+static constexpr uint32_t AnnounceCount = 4;
+static constexpr size_t KeptPatches = 32;
+static constexpr uint32_t WatchTokenBase = 1;
+static constexpr uint64_t ReaderKey = 0x726561646572;
+
+const char *objectName(Document What) {
+  return What == Document::Config ? "config" : "hosts";
+}
+
+static uint64_t hashOf(const json &Body) { return hash64(Body.dump()); }
+
+Documents::Documents(NodeEnv &Env, Membership &Members, StoreQueue &Queue)
+    : Env(Env), Members(Members), Queue(Queue) {}
+
+std::array<Version, DocumentCount> Documents::versions() const {
+  std::array<Version, DocumentCount> All;
+  for (uint32_t I = 0; I < DocumentCount; ++I) {
+    All[I] = this->Copies[I].Number;
+  }
+  return All;
+}
+
+const json &Documents::body(Document What) const {
+  return this->Copies[static_cast<int>(What)].Body;
+}
+
+// Applied versions were validated before they were written; one that does not
+// parse was written past us, and what is in force stays.
+bool Documents::accept(Document What, const std::string &Text, Copy &C,
+                       Version Number) {
+  try {
+    if (What == Document::Config) {
+      this->Env.Conf = parseConfig(Text);
+    } else {
+      this->Members.setHosts(parseHosts(Text));
+    }
+  } catch (const ConfigError &E) {
+    C.Rejected = Number;
+    C.Mistakes = E.what();
+    return false;
+  }
+  return true;
+}
+
+bool Documents::adopt(Document What, Version Number, json Body) {
+  Copy &C = this->Copies[static_cast<int>(What)];
+  if (!(C.Number < Number) || C.Rejected == Number) {
+    return false;
+  }
+  std::string Text = Body.dump();
+  if (!this->accept(What, Text, C, Number)) {
+    return false;
+  }
+  if (C.Number.isValid()) {
+    C.Patches.push_back(Patch{C.Number, Number, json::diff(C.Body, Body)});
+    if (C.Patches.size() > KeptPatches) {
+      C.Patches.pop_front();
+    }
+  }
+  C.Number = Number;
+  C.Body = std::move(Body);
+  C.Hash = hash64(Text);
+  this->Changed.push_back(What);
+  this->announce();
+  return true;
+}
+
+void Documents::announce() {
+  Heartbeat H;
+  H.Run = this->Env.Run;
+  H.Leaving = this->Members.leaving();
+  H.Versions = this->versions();
+  for (HostId Peer : this->Members.randomPeers(AnnounceCount)) {
+    this->Env.to(Peer).Heartbeats.push_back(H);
+  }
+}
+
+void Documents::onVersions(HostId From,
+                           const std::array<Version, DocumentCount> &Theirs) {
+  for (uint32_t I = 0; I < DocumentCount; ++I) {
+    const Copy &C = this->Copies[I];
+    if (C.Number < Theirs[I] && C.Rejected != Theirs[I]) {
+      this->Env.to(From).DocumentWants.push_back(
+          DocumentWant{static_cast<Document>(I), C.Number});
+    }
+  }
+}
+
+void Documents::askPeer(HostId Peer) {
+  for (uint32_t I = 0; I < DocumentCount; ++I) {
+    this->Env.to(Peer).DocumentWants.push_back(
+        DocumentWant{static_cast<Document>(I), this->Copies[I].Number});
+  }
+}
+
+// Patches are arrays of steps: consecutive ones are joined end to end.
+void Documents::onWant(HostId From, const DocumentWant &W) {
+  const Copy &C = this->Copies[static_cast<int>(W.What)];
+  if (!(W.Have < C.Number)) {
+    return;
+  }
+  DocumentBody B;
+  B.What = W.What;
+  B.Number = C.Number;
+  B.Hash = C.Hash;
+  json Steps = json::array();
+  bool Joined = false;
+  for (const Patch &P : C.Patches) {
+    Joined = Joined || P.From == W.Have;
+    if (Joined) {
+      Steps.insert(Steps.end(), P.Steps.begin(), P.Steps.end());
+    }
+  }
+  if (Joined && W.Have.isValid()) {
+    B.Base = W.Have;
+    B.Text = Steps.dump();
+  } else {
+    B.Text = C.Body.dump();
+  }
+  this->Env.to(From).DocumentBodies.push_back(std::move(B));
+}
+
+void Documents::onBody(const DocumentBody &B) {
+  Copy &C = this->Copies[static_cast<int>(B.What)];
+  if (!(C.Number < B.Number)) {
+    return;
+  }
+  json Body = json::parse(B.Text, nullptr, false);
+  if (Body.is_discarded()) {
+    return;
+  }
+  if (B.Base.isValid()) {
+    if (B.Base != C.Number) {
+      return;
+    }
+    try {
+      Body = C.Body.patch(Body);
+    } catch (const json::exception &) {
+      return;
+    }
+  }
+  if (hashOf(Body) == B.Hash) {
+    this->adopt(B.What, B.Number, std::move(Body));
+  }
+}
+
+void Documents::watch(Document What) {
+  Copy &C = this->Copies[static_cast<int>(What)];
+  C.Watching = true;
+  StoreRequest R;
+  R.Kind = StoreRequest::Op::Watch;
+  R.Token = WatchTokenBase + static_cast<uint32_t>(What);
+  R.Name = objectName(What);
+  R.Expected = C.Rejected < C.Number ? C.Number : C.Rejected;
+  this->Queue.push(std::move(R));
+}
+
+bool Documents::onStoreReply(const StoreReply &Reply) {
+  uint32_t I = Reply.Token - WatchTokenBase;
+  if (I >= DocumentCount) {
+    return false;
+  }
+  this->Copies[I].Watching = false;
+  if (Reply.Result == StoreReply::Status::Ok) {
+    json Body = json::parse(Reply.Body, nullptr, false);
+    if (Body.is_discarded()) {
+      this->Copies[I].Rejected = Reply.Number;
+      this->Copies[I].Mistakes = "/: not valid JSON";
+      return true;
+    }
+    this->adopt(static_cast<Document>(I), Reply.Number, std::move(Body));
+  }
+  return true;
+}
+
+// Readers watch. A host that has no copy yet reads too, whatever its rank.
+void Documents::tick() {
+  bool Reader = this->Members.amongFirst(ReaderKey, ReadersPerRegion);
+  for (uint32_t I = 0; I < DocumentCount; ++I) {
+    Copy &C = this->Copies[I];
+    if (!C.Watching && (Reader || !C.Number.isValid())) {
+      this->watch(static_cast<Document>(I));
+    }
+  }
+}
+
+std::vector<Document> Documents::takeChanged() {
+  std::vector<Document> Taken;
+  Taken.swap(this->Changed);
+  return Taken;
+}
+
+DocumentStats Documents::stats(Document What) const {
+  const Copy &C = this->Copies[static_cast<int>(What)];
+  return DocumentStats{C.Number, C.Rejected, C.Watching, C.Mistakes};
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,305 @@
+#include "http_client_p.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace shallotlatch {
+
+static constexpr size_t MaxIdlePerAddress = 64;
+static constexpr Duration MaxIdleTime = seconds(20);
+static constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
+
+static timeval toTimeval(Duration D) {
+  timeval T;
+  T.tv_sec = D.count() / 1000000;
+  T.tv_usec = D.count() % 1000000;
+  return T;
+}
+
+/// One exchange, from start to Done.
+struct HttpClient::Call {
+  HttpClient *Owner = nullptr;
+  uint32_t Id = 0;
+  HttpRequest Request;
+  HttpEvents Events;
+  evhttp_connection *Connection = nullptr;
+  evhttp_request *Raw = nullptr; ///< Until evhttp reports its end.
+  event *ConnectTimer = nullptr;
+  evbuffer_cb_entry *OutputWatch = nullptr;
+  HttpResult Result;
+
+  ~Call() {
+    this->unwatch();
+    if (this->ConnectTimer != nullptr) {
+      event_free(this->ConnectTimer);
+    }
+  }
+
+  evbuffer *output() const {
+    return bufferevent_get_output(
+        evhttp_connection_get_bufferevent(this->Connection));
+  }
+
+  void unwatch() {
+    if (this->OutputWatch != nullptr) {
+      evbuffer_remove_cb_entry(this->output(), this->OutputWatch);
+      this->OutputWatch = nullptr;
+    }
+  }
+
+  static void ignoreEnd(evhttp_request *, void *) {}
+
+  // What evhttp still has to say about this exchange reaches nobody.
+  void detach() {
+    this->unwatch();
+    if (this->Raw != nullptr) {
+      this->Raw->cb = &Call::ignoreEnd;
+      this->Raw->chunk_cb = nullptr;
+      this->Raw = nullptr;
+    }
+    if (this->ConnectTimer != nullptr) {
+      event_del(this->ConnectTimer);
+    }
+  }
+
+  void markSent() {
+    if (this->Result.Sent) {
+      return;
+    }
+    this->Result.Sent = true;
+    if (this->ConnectTimer != nullptr) {
+      event_del(this->ConnectTimer);
+    }
+    if (this->Events.Sending) {
+      this->Events.Sending();
+    }
+  }
+
+  // evhttp fills the output buffer only once the connection stands, so its
+  // first growth is the moment from which bytes may have left.
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+    if (Info->n_added > 0) {
+      static_cast<Call *>(Arg)->markSent();
+    }
+  }
+
+  static void onConnectTimeout(evutil_socket_t, short, void *Arg) {
+    Call *C = static_cast<Call *>(Arg);
+    C->detach();
+    C->Owner->finished(*C, false);
+  }
+
+  void readHeaders(evhttp_request *Answer) {
+    this->Result.Status = evhttp_request_get_response_code(Answer);
+    evkeyvalq *List = evhttp_request_get_input_headers(Answer);
+    for (evkeyval *Pair = List->tqh_first; Pair != nullptr;
+         Pair = Pair->next.tqe_next) {
+      std::string Name = Pair->key;
+      std::transform(Name.begin(), Name.end(), Name.begin(), ::tolower);
+      this->Result.Headers[Name] = Pair->value;
+    }
+  }
+
+  void takeBody(evhttp_request *Answer) {
+    evbuffer *Input = evhttp_request_get_input_buffer(Answer);
+    size_t Length = evbuffer_get_length(Input);
+    std::string Part(Length, '\0');
+    evbuffer_remove(Input, &Part[0], Length);
+    if (this->Events.Chunk && this->Result.Status == 200) {
+      this->Events.Chunk(Part);
+    } else {
+      this->Result.Body += Part;
+    }
+  }
+
+  static void onChunk(evhttp_request *Answer, void *Arg) {
+    Call *C = static_cast<Call *>(Arg);
+    if (C->Result.Status == 0) {
+      C->readHeaders(Answer);
+    }
+    C->takeBody(Answer);
+  }
+
+  static void onDone(evhttp_request *Answer, void *Arg) {
+    Call *C = static_cast<Call *>(Arg);
+    C->Raw = nullptr;
+    bool Answered =
+        Answer != nullptr && evhttp_request_get_response_code(Answer) != 0;
+    if (Answered) {
+      if (C->Result.Status == 0) {
+        C->readHeaders(Answer);
+      }
+      if (evbuffer_get_length(evhttp_request_get_input_buffer(Answer)) > 0) {
+        C->takeBody(Answer);
+      }
+      // Without a length or a last chunk, the end of the connection proves
+      // nothing about the end of the answer.
+      const auto &Headers = C->Result.Headers;
+      C->Result.Whole = Headers.count("content-length") != 0 ||
+                        Headers.count("transfer-encoding") != 0;
+    }
+    auto Close = C->Result.Headers.find("connection");
+    bool Closing = Close != C->Result.Headers.end() && Close->second == "close";
+    C->Owner->finished(*C, Answered && C->Result.Whole && !Closing);
+  }
+};
+
+HttpClient::HttpClient(event_base *Base)
+    : Base(Base),
+      Collector(event_new(Base, -1, 0, &HttpClient::collect, this)) {}
+
+HttpClient::~HttpClient() {
+  for (auto &Item : this->Calls) {
+    Item.second->detach();
+    this->Garbage.push_back(Item.second->Connection);
+  }
+  this->Calls.clear();
+  this->Finished.clear();
+  for (auto &Item : this->IdleConnections) {
+    for (const Idle &I : Item.second) {
+      this->Garbage.push_back(I.Connection);
+    }
+  }
+  collect(-1, 0, this);
+  event_free(this->Collector);
+}
+
+// Ends are reported and connections freed from the loop, never inside
+// evhttp's callbacks nor inside start.
+void HttpClient::collect(evutil_socket_t, short, void *Self) {
+  HttpClient *Client = static_cast<HttpClient *>(Self);
+  while (!Client->Finished.empty()) {
+    std::unique_ptr<Call> Owned = std::move(Client->Finished.front());
+    Client->Finished.pop_front();
+    if (Owned->Events.Done) {
+      Owned->Events.Done(Owned->Result);
+    }
+  }
+  std::vector<evhttp_connection *> Taken;
+  Taken.swap(Client->Garbage);
+  for (evhttp_connection *Connection : Taken) {
+    evhttp_connection_free(Connection);
+  }
+}
+
+void HttpClient::discard(evhttp_connection *Connection) {
+  this->Garbage.push_back(Connection);
+  event_active(this->Collector, 0, 0);
+}
+
+evhttp_connection *HttpClient::connectionFor(const HttpRequest &Request,
+                                             bool &Fresh) {
+  Fresh = false;
+  if (Request.Reuse) {
+    std::vector<Idle> &List = this->IdleConnections[Request.To.text()];
+    while (!List.empty()) {
+      Idle Last = List.back();
+      List.pop_back();
+      bufferevent *Socket = evhttp_connection_get_bufferevent(Last.Connection);
+      bool Usable = bufferevent_getfd(Socket) != -1 &&
+                    ProcessClock::now() - Last.Since < MaxIdleTime;
+      if (Usable) {
+        return Last.Connection;
+      }
+      this->discard(Last.Connection);
+    }
+  }
+  Fresh = true;
+  return evhttp_connection_base_new(this->Base, nullptr, Request.To.Ip.c_str(),
+                                    Request.To.Port);
+}
+
+static evhttp_cmd_type commandOf(const std::string &Method) {
+  if (Method == "GET") {
+    return EVHTTP_REQ_GET;
+  }
+  if (Method == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  return Method == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_POST;
+}
+
+HttpCallHandle HttpClient::start(HttpRequest Request, HttpEvents Events) {
+  std::unique_ptr<Call> Owned = std::make_unique<Call>();
+  Call &C = *Owned;
+  C.Owner = this;
+  C.Id = this->NextCall++;
+  C.Request = std::move(Request);
+  C.Events = std::move(Events);
+  bool Fresh = false;
+  C.Connection = this->connectionFor(C.Request, Fresh);
+  timeval Timeout = toTimeval(C.Request.Timeout);
+  evhttp_connection_set_timeout_tv(C.Connection, &Timeout);
+  evhttp_connection_set_max_body_size(C.Connection, MaxAnswerBytes);
+  if (Fresh) {
+    C.ConnectTimer = event_new(this->Base, -1, 0, &Call::onConnectTimeout, &C);
+    timeval Connect = toTimeval(C.Request.ConnectTimeout);
+    event_add(C.ConnectTimer, &Connect);
+  }
+  C.OutputWatch = evbuffer_add_cb(C.output(), &Call::onOutput, &C);
+  evhttp_request *Out = evhttp_request_new(&Call::onDone, &C);
+  evhttp_request_set_chunked_cb(Out, &Call::onChunk);
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Out);
+  evhttp_add_header(Headers, "Host", C.Request.To.text().c_str());
+  for (const auto &Header : C.Request.Headers) {
+    evhttp_add_header(Headers, Header.first.c_str(), Header.second.c_str());
+  }
+  if (!C.Request.Body.empty()) {
+    evbuffer_add(evhttp_request_get_output_buffer(Out), C.Request.Body.data(),
+                 C.Request.Body.size());
+  }
+  HttpCallHandle H{C.Id};
+  this->Calls[C.Id] = std::move(Owned);
+  Call *Started = this->Calls[H.Index].get();
+  Started->Raw = Out;
+  int Failed = evhttp_make_request(Started->Connection, Out,
+                                   commandOf(Started->Request.Method),
+                                   Started->Request.Path.c_str());
+  auto It = this->Calls.find(H.Index);
+  if (Failed != 0 && It != this->Calls.end()) {
+    It->second->Raw = nullptr;
+    this->finished(*It->second, false);
+  }
+  return H;
+}
+
+void HttpClient::finished(Call &C, bool Keep) {
+  auto It = this->Calls.find(C.Id);
+  std::unique_ptr<Call> Owned = std::move(It->second);
+  this->Calls.erase(It);
+  Owned->unwatch();
+  std::vector<Idle> *List =
+      Keep && Owned->Request.Reuse
+          ? &this->IdleConnections[Owned->Request.To.text()]
+          : nullptr;
+  if (List != nullptr && List->size() < MaxIdlePerAddress) {
+    List->push_back(Idle{Owned->Connection, ProcessClock::now()});
+  } else {
+    this->Garbage.push_back(Owned->Connection);
+  }
+  this->Finished.push_back(std::move(Owned));
+  event_active(this->Collector, 0, 0);
+}
+
+void HttpClient::abort(HttpCallHandle H) {
+  auto It = this->Calls.find(H.Index);
+  if (It != this->Calls.end()) {
+    It->second->detach();
+    evhttp_connection *Connection = It->second->Connection;
+    this->Calls.erase(It);
+    this->discard(Connection);
+    return;
+  }
+  auto Same = [&](const std::unique_ptr<Call> &C) { return C->Id == H.Index; };
+  this->Finished.erase(
+      std::remove_if(this->Finished.begin(), this->Finished.end(), Same),
+      this->Finished.end());
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/key_home_p.h
@@ -0,0 +1,81 @@
+/// \file
+/// Claims on non-idempotent keys, written in groups as conditional updates.
+#pragma once
+
+#include "key_bucket_p.h"
+#include "membership_p.h"
+#include "store_queue_p.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallotlatch {
+
+/// Readable figures of the key home role.
+struct KeyHomeStats {
+  uint64_t Claims = 0;
+  uint64_t Granted = 0;
+  uint64_t Commits = 0;
+  uint64_t Conflicts = 0;
+  uint32_t Pending = 0;
+};
+
+/// Gathers claims for some milliseconds and writes each object at most once at
+/// a time. Any number of hosts may think they are a key's home: only a
+/// conditional write makes a claim, and only a claim that stands in the store
+/// is granted.
+class KeyHome {
+public:
+  KeyHome(NodeEnv &Env, StoreQueue &Queue);
+
+  void onClaim(HostId From, const Claim &C);
+  void onSettle(const Settle &S);
+  /// A reply to one of this part's calls; false: not its token.
+  bool onStoreReply(const StoreReply &Reply);
+  void tick();
+  KeyHomeStats stats() const;
+
+private:
+  struct PendingClaim {
+    HostId From;
+    Claim Wanted;
+    Time Since;
+  };
+  struct Object {
+    std::string Name;
+    uint32_t Token = 0;
+    bool Loaded = false;
+    bool Busy = false; ///< A call is in flight.
+    bool Writing = false;
+    Version Number;
+    KeyBucket Content;
+    KeyBucket Next; ///< As written by the call in flight.
+    std::vector<PendingClaim> Claims;
+    std::vector<Settle> Settles;
+    std::vector<PendingClaim> InWrite; ///< Granted if the write succeeds.
+    size_t SettlesInWrite = 0;
+    Time FlushAt;
+    Time LastUsed;
+  };
+
+  Object &object(const KeyPlace &Place);
+  void flush(Object &O);
+  void load(Object &O);
+  void reply(HostId From, const Claim &C, ClaimResult Result,
+             const StoredClaim *Stored);
+  bool place(Object &O, const PendingClaim &P, KeyBucket &Next);
+  void settle(const Object &O, KeyBucket &Next) const;
+  void onLoaded(Object &O, const StoreReply &Reply);
+  void onWritten(Object &O, const StoreReply &Reply);
+  bool tooNew(int64_t Slot) const;
+
+  NodeEnv &Env;
+  StoreQueue &Queue;
+  std::map<std::string, Object> Objects;
+  std::map<uint32_t, std::string> ByToken;
+  uint32_t NextToken;
+  KeyHomeStats Counts;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,377 @@
+#include "membership_p.h"
+
+#include "json_reader_p.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+static constexpr Duration BeatPeriod = millis(500);
+static constexpr Duration ExchangePeriod = millis(1000);
+static constexpr Duration SuspectAfter = millis(1800);
+static constexpr Duration UnreachableFor = seconds(3);
+static constexpr uint32_t MonitorCount = 3;
+static constexpr uint32_t DeadVotes = 2;
+static constexpr uint32_t SpreadCount = 3;
+
+std::vector<HostInfo> parseHosts(const std::string &Json) {
+  nlohmann::json Root = nlohmann::json::parse(Json, nullptr, false);
+  if (Root.is_discarded()) {
+    throw ConfigError({"/: not valid JSON"});
+  }
+  std::vector<std::string> Mistakes;
+  std::vector<HostInfo> List;
+  ObjectReader Top(Root, "", Mistakes);
+  const nlohmann::json &Items = Top.array("hosts");
+  for (size_t I = 0; I < Items.size(); ++I) {
+    ObjectReader R(Items[I], "/hosts/" + std::to_string(I), Mistakes);
+    HostInfo H;
+    std::string Peer;
+    R.text("name", H.Name);
+    R.text("region", H.Region);
+    R.text("domain", H.Domain);
+    R.text("peer", Peer);
+    R.boolean("leaving", H.Leaving);
+    try {
+      H.Peer = parseAddress(Peer);
+    } catch (const std::invalid_argument &E) {
+      R.mistake("peer", E.what());
+    }
+    H.Id = hostId(H.Name);
+    List.push_back(H);
+  }
+  if (!Mistakes.empty()) {
+    throw ConfigError(Mistakes);
+  }
+  return List;
+}
+
+Membership::Membership(NodeEnv &Env) : Env(Env), Started(Env.Now) {}
+
+void Membership::setHosts(const std::vector<HostInfo> &List) {
+  std::map<HostId, Record> Next;
+  for (const HostInfo &Info : List) {
+    auto Old = this->Hosts.find(Info.Id);
+    Record R;
+    if (Old != this->Hosts.end()) {
+      R = Old->second;
+    } else {
+      R.LastHeard = this->Env.Now;
+    }
+    R.Info = Info;
+    Next[Info.Id] = R;
+  }
+  for (const auto &Item : this->Hosts) {
+    if (Next.count(Item.first) == 0 && Item.second.WasLive) {
+      this->Gone.push_back(Item.first);
+    }
+  }
+  this->Hosts = std::move(Next);
+  for (auto It = this->Opinions.begin(); It != this->Opinions.end();) {
+    bool Keep = this->Hosts.count(It->first.Subject) != 0;
+    It = Keep ? std::next(It) : this->Opinions.erase(It);
+  }
+  this->updateView();
+  ++this->Epoch;
+}
+
+void Membership::heard(HostId From) {
+  auto It = this->Hosts.find(From);
+  if (It != this->Hosts.end()) {
+    It->second.LastHeard = this->Env.Now;
+    It->second.UnreachableUntil = Time();
+  }
+}
+
+void Membership::onHeartbeat(HostId From, const Heartbeat &H) {
+  auto It = this->Hosts.find(From);
+  if (It == this->Hosts.end()) {
+    return;
+  }
+  Record &R = It->second;
+  if (R.Run != H.Run) {
+    // A new run holds nothing of the old one.
+    if (R.Run.isValid() && From != this->Env.Self) {
+      this->Gone.push_back(From);
+    }
+    R.Run = H.Run;
+    R.Dead = false;
+    ++this->Epoch;
+  }
+  R.ConfigVersion = H.Versions[static_cast<int>(Document::Config)];
+  if (R.Leaving != H.Leaving) {
+    R.Leaving = H.Leaving;
+    this->setOpinion(R, H.Leaving ? Opinion::State::Leaving
+                                  : Opinion::State::Live);
+  }
+  this->updateView();
+}
+
+void Membership::unreachable(HostId Host) {
+  auto It = this->Hosts.find(Host);
+  if (It != this->Hosts.end() && Host != this->Env.Self) {
+    It->second.UnreachableUntil = this->Env.Now + UnreachableFor;
+    this->updateView();
+  }
+}
+
+const HostInfo *Membership::info(HostId Host) const {
+  auto It = this->Hosts.find(Host);
+  return It == this->Hosts.end() ? nullptr : &It->second.Info;
+}
+
+bool Membership::live(HostId Host) const {
+  auto It = this->Hosts.find(Host);
+  if (It == this->Hosts.end()) {
+    return Host == this->Env.Self;
+  }
+  if (Host == this->Env.Self) {
+    return !this->SelfLeaving;
+  }
+  const Record &R = It->second;
+  return !R.Dead && !R.Leaving && !R.Info.Leaving &&
+         R.UnreachableUntil <= this->Env.Now;
+}
+
+HostId Membership::ownerOf(uint64_t Key, const std::string &Region) const {
+  HostId Best[2];
+  uint64_t BestRank[2] = {0, 0};
+  for (const auto &Item : this->Hosts) {
+    if (!this->live(Item.first)) {
+      continue;
+    }
+    uint64_t Rank = hashPair(Item.first.Value, Key);
+    int Class = Item.second.Info.Region == Region ? 0 : 1;
+    if (!Best[Class].isValid() || Rank > BestRank[Class]) {
+      Best[Class] = Item.first;
+      BestRank[Class] = Rank;
+    }
+  }
+  if (Best[0].isValid()) {
+    return Best[0];
+  }
+  return Best[1].isValid() ? Best[1] : this->Env.Self;
+}
+
+bool Membership::amongFirst(uint64_t Key, uint32_t Count) const {
+  uint64_t Mine = hashPair(this->Env.Self.Value, Key);
+  uint32_t Above = 0;
+  for (const auto &Item : this->Hosts) {
+    bool Rival = Item.first != this->Env.Self && this->live(Item.first) &&
+                 Item.second.Info.Region == this->Env.Region;
+    Above += Rival && hashPair(Item.first.Value, Key) > Mine ? 1 : 0;
+  }
+  return Above < Count;
+}
+
+std::vector<HostId> Membership::randomPeers(uint32_t Count) {
+  std::vector<HostId> Live;
+  for (const auto &Item : this->Hosts) {
+    if (Item.first != this->Env.Self && this->live(Item.first)) {
+      Live.push_back(Item.first);
+    }
+  }
+  std::vector<HostId> Picked;
+  while (Picked.size() < Count && !Live.empty()) {
+    uint32_t I = this->Env.draw(static_cast<uint32_t>(Live.size()));
+    Picked.push_back(Live[I]);
+    Live[I] = Live.back();
+    Live.pop_back();
+  }
+  return Picked;
+}
+
+uint32_t Membership::liveCount() const {
+  uint32_t Count = 0;
+  for (const auto &Item : this->Hosts) {
+    Count += this->live(Item.first) ? 1 : 0;
+  }
+  return std::max<uint32_t>(Count, 1);
+}
+
+// The next hosts after the subject on a ring ordered by id, so that each host
+// monitors about as many as monitor it.
+std::vector<HostId> Membership::monitorsOf(HostId Subject) const {
+  std::vector<HostId> Monitors;
+  auto It = this->Hosts.upper_bound(Subject);
+  for (size_t Step = 0;
+       Step < this->Hosts.size() && Monitors.size() < MonitorCount; ++Step) {
+    if (It == this->Hosts.end()) {
+      It = this->Hosts.begin();
+    }
+    bool Usable = It->first == this->Env.Self || !It->second.Dead;
+    if (It->first != Subject && Usable) {
+      Monitors.push_back(It->first);
+    }
+    ++It;
+  }
+  return Monitors;
+}
+
+void Membership::spread(const Opinion &O) {
+  for (HostId Peer : this->randomPeers(SpreadCount)) {
+    this->Env.to(Peer).Opinions.push_back(O);
+  }
+}
+
+void Membership::setOpinion(const Record &R, Opinion::State Seen) {
+  Opinion &O = this->Opinions[OpinionKey{R.Info.Id, this->Env.Self}];
+  if (O.Version != 0 && O.Seen == Seen && O.SubjectRun == R.Run) {
+    return;
+  }
+  O.Subject = R.Info.Id;
+  O.Monitor = this->Env.Self;
+  O.SubjectRun = R.Run;
+  // A restarted monitor must outbid what its earlier run published.
+  uint32_t Floor = static_cast<uint32_t>(this->Env.Run.Value / 1000000);
+  O.Version = std::max(O.Version, Floor) + 1;
+  O.Seen = Seen;
+  this->spread(O);
+  this->judge(R.Info.Id);
+}
+
+void Membership::onOpinion(const Opinion &O) {
+  auto Subject = this->Hosts.find(O.Subject);
+  if (Subject == this->Hosts.end() || O.Monitor == this->Env.Self) {
+    return;
+  }
+  Opinion &Mine = this->Opinions[OpinionKey{O.Subject, O.Monitor}];
+  if (O.Version <= Mine.Version) {
+    return;
+  }
+  Mine = O;
+  if (Subject->second.Run < O.SubjectRun) {
+    Subject->second.Run = O.SubjectRun;
+    Subject->second.Leaving = false;
+  }
+  this->spread(O);
+  this->judge(O.Subject);
+}
+
+void Membership::judge(HostId Subject) {
+  auto It = this->Hosts.find(Subject);
+  if (It == this->Hosts.end() || Subject == this->Env.Self) {
+    return;
+  }
+  Record &R = It->second;
+  uint32_t Suspects = 0;
+  uint32_t LiveVotes = 0;
+  bool Leaving = R.Leaving;
+  for (auto O = this->Opinions.lower_bound(OpinionKey{Subject, HostId()});
+       O != this->Opinions.end() && O->first.Subject == Subject; ++O) {
+    bool Counts =
+        O->second.SubjectRun == R.Run &&
+        (O->first.Monitor == this->Env.Self || this->live(O->first.Monitor));
+    if (!Counts) {
+      continue;
+    }
+    Suspects += O->second.Seen == Opinion::State::Suspect ? 1 : 0;
+    LiveVotes += O->second.Seen == Opinion::State::Live ? 1 : 0;
+    Leaving = Leaving || O->second.Seen == Opinion::State::Leaving;
+  }
+  uint32_t Others = this->liveCount() - (this->live(Subject) ? 1 : 0);
+  uint32_t Needed = std::max<uint32_t>(1, std::min(DeadVotes, Others));
+  if (Suspects >= Needed) {
+    R.Dead = true;
+  } else if (LiveVotes > 0) {
+    // Once dead, a host is live again only when a monitor says so.
+    R.Dead = false;
+  }
+  R.Leaving = Leaving;
+  this->updateView();
+}
+
+void Membership::updateView() {
+  for (auto &Item : this->Hosts) {
+    bool Live = this->live(Item.first);
+    if (Live == Item.second.WasLive) {
+      continue;
+    }
+    Item.second.WasLive = Live;
+    ++this->Epoch;
+    if (!Live && Item.second.Dead) {
+      this->Gone.push_back(Item.first);
+    }
+  }
+}
+
+void Membership::formOpinions() {
+  // A host that has just started has heard nobody yet.
+  if (this->Env.Now - this->Started < SuspectAfter) {
+    return;
+  }
+  for (auto &Item : this->Hosts) {
+    if (Item.first == this->Env.Self) {
+      continue;
+    }
+    std::vector<HostId> Monitors = this->monitorsOf(Item.first);
+    bool Mine = std::find(Monitors.begin(), Monitors.end(), this->Env.Self) !=
+                Monitors.end();
+    if (!Mine) {
+      continue;
+    }
+    bool Late = this->Env.Now - Item.second.LastHeard > SuspectAfter;
+    if (Late) {
+      this->setOpinion(Item.second, Opinion::State::Suspect);
+    } else if (!Item.second.Leaving) {
+      this->setOpinion(Item.second, Opinion::State::Live);
+    }
+  }
+}
+
+void Membership::tick(const std::array<Version, DocumentCount> &Versions,
+                      uint64_t OtherDigest) {
+  Heartbeat H;
+  H.Run = this->Env.Run;
+  H.Leaving = this->SelfLeaving;
+  H.Versions = Versions;
+  if (this->Env.Now >= this->NextBeat) {
+    this->NextBeat = this->Env.Now + BeatPeriod;
+    for (HostId Monitor : this->monitorsOf(this->Env.Self)) {
+      this->Env.to(Monitor).Heartbeats.push_back(H);
+    }
+    this->formOpinions();
+  }
+  if (this->Env.Now >= this->NextExchange) {
+    this->NextExchange = this->Env.Now + ExchangePeriod;
+    H.Digest = this->digest() + OtherDigest;
+    for (HostId Peer : this->randomPeers(1)) {
+      this->Env.to(Peer).Heartbeats.push_back(H);
+    }
+  }
+  this->updateView();
+}
+
+std::vector<HostId> Membership::takeGone() {
+  std::vector<HostId> Taken;
+  Taken.swap(this->Gone);
+  return Taken;
+}
+
+uint64_t Membership::digest() const {
+  uint64_t Sum = 0;
+  for (const auto &Item : this->Opinions) {
+    const Opinion &O = Item.second;
+    Sum += hashPair(hashPair(O.Subject.Value, O.Monitor.Value), O.Version);
+  }
+  return Sum;
+}
+
+void Membership::sendAll(HostId To) {
+  for (const auto &Item : this->Opinions) {
+    this->Env.to(To).Opinions.push_back(Item.second);
+  }
+}
+
+std::vector<HostStats> Membership::stats() const {
+  std::vector<HostStats> All;
+  for (const auto &Item : this->Hosts) {
+    const Record &R = Item.second;
+    All.push_back(HostStats{R.Info.Name, R.Info.Region, R.Info.Domain,
+                            this->live(Item.first), R.Leaving || R.Info.Leaving,
+                            R.Run, R.ConfigVersion});
+  }
+  return All;
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/node_p.h
@@ -0,0 +1,96 @@
+/// \file
+/// One host's decisions, all roles joined: events in, messages and commands
+/// out. No socket, no clock, no thread.
+#pragma once
+
+#include "crash_counts_p.h"
+#include "documents_p.h"
+#include "entry_p.h"
+#include "key_home_p.h"
+#include "limits_p.h"
+#include "membership_p.h"
+#include "pool_host_p.h"
+#include "store_queue_p.h"
+
+#include <string>
+#include <vector>
+
+namespace shallotlatch {
+
+/// Safe defaults for a node.
+struct NodeInit {
+  std::string Name;
+  std::string Region;
+  Incarnation Run{1};
+  uint64_t Seed = 1;
+  double StoreCallsPerSecond = 20;
+  Time Start;
+};
+
+/// Decisions of one host. Every event method ends with all of the node's
+/// messages to itself delivered; `takeOutbox` and `takeCommands` then give
+/// what is for others.
+class Node {
+public:
+  explicit Node(const NodeInit &Init);
+
+  /// Moves time on. Events that follow happen at this time.
+  void setTime(Time Now, WallMillis Wall);
+  RequestHandle submit(const Submission &S);
+  void cancel(RequestHandle H);
+  void unsent(RequestHandle H);
+  bool sending(RequestHandle H);
+  void tokens(RequestHandle H, uint32_t Count);
+  void ended(RequestHandle H, const RunEnd &E);
+  void receive(HostId From, const PeerBatch &Batch);
+  /// A link to \p Host came up: ask it for documents this node lacks.
+  void linked(HostId Host);
+  void unreachable(HostId Host);
+  void storeReply(const StoreReply &Reply);
+  void report(TargetId Target, const TargetReport &R);
+  void tick();
+  /// Stops taking requests; `idle` tells when all have ended.
+  void drain();
+
+  std::map<HostId, PeerBatch> takeOutbox();
+  std::vector<Command> takeCommands();
+
+  bool ready() const;
+  bool draining() const { return this->Draining; }
+  bool idle() const { return this->Requests.idle(); }
+  HostId self() const { return this->Env.Self; }
+  const std::shared_ptr<const Config> &config() const { return this->Env.Conf; }
+  AskId submissionOf(RequestHandle H) const {
+    return this->Requests.submissionOf(H);
+  }
+
+  /// Readable state and the parts that operators' orders go to.
+  const Entry &entry() const { return this->Requests; }
+  const PoolHost &pools() const { return this->Pools; }
+  const Membership &membership() const { return this->Members; }
+  const Documents &documents() const { return this->Copies; }
+  CrashCounts &crashCounts() { return this->Shared; }
+  KeyHomeStats keyStats() const { return this->Keys.stats(); }
+  StoreStats storeStats() const { return this->Queue.stats(); }
+
+private:
+  void pump();
+  void deliver(HostId From, const PeerBatch &Batch);
+  void deliverPool(HostId From, const PeerBatch &Batch);
+  void deliverEntry(HostId From, const PeerBatch &Batch);
+  void deliverShared(HostId From, const PeerBatch &Batch);
+  void applyChanges();
+
+  NodeEnv Env;
+  Membership Members;
+  StoreQueue Queue;
+  Documents Copies;
+  CrashCounts Shared;
+  KeyHome Keys;
+  LimitHome Limits;
+  PoolHost Pools;
+  Entry Requests;
+  bool Draining = false;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/outcome_log.cpp
@@ -0,0 +1,25 @@
+#include "outcome_log_p.h"
+
+namespace shallotlatch {
+
+static constexpr size_t MaxBytes = 8 * 1024 * 1024;
+
+void OutcomeLog::add(AskId Submission, const Verdict &End, std::string Answer) {
+  this->Bytes += Answer.size();
+  this->Records[Submission] = Record{End, std::move(Answer)};
+  this->Order.push_back(Submission);
+  while (this->Order.size() > SHALLOTLATCH_CONFIG_MAX_OUTCOMES ||
+         this->Bytes > MaxBytes) {
+    auto It = this->Records.find(this->Order.front());
+    this->Bytes -= It->second.Answer.size();
+    this->Records.erase(It);
+    this->Order.pop_front();
+  }
+}
+
+const OutcomeLog::Record *OutcomeLog::find(AskId Submission) const {
+  auto It = this->Records.find(Submission);
+  return It == this->Records.end() ? nullptr : &It->second;
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/run_task_p.h
@@ -0,0 +1,68 @@
+/// \file
+/// Dispatches: sends one request to one target and watches its answer.
+#pragma once
+
+#include "entry_p.h"
+#include "http_client_p.h"
+#include "pool_host_p.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace shallotlatch {
+
+/// What is sent to a target.
+struct RunOrder {
+  RequestHandle Request;
+  const TargetSpec *Target = nullptr;
+  std::string Path;
+  std::string Body;
+  std::string Key; ///< Idempotency key to pass on; may be empty.
+  std::string RequestId;
+  Duration Timeout{0};
+  bool Idempotent = true;
+};
+
+/// What the task tells its owner.
+struct RunEvents {
+  /// Bytes are about to leave.
+  std::function<void(RequestHandle)> Sending;
+  /// No byte left.
+  std::function<void(RequestHandle)> Unsent;
+  /// One event's text of an engine's stream.
+  std::function<void(RequestHandle, const std::string &)> Token;
+  std::function<void(RequestHandle, const RunEnd &)> Ended;
+  std::function<void(TargetId, const TargetReport &)> Report;
+};
+
+class RunTask {
+public:
+  RunTask(HttpClient &Client, RunEvents Events);
+  void start(const RunOrder &Order);
+  /// Nobody waits for the answer: the connection is closed, which cancels the
+  /// request at an engine.
+  void abort(RequestHandle Request);
+  void poll(const TargetSpec &Target);
+
+private:
+  struct Run {
+    HttpCallHandle Call;
+    bool Engine = false;
+    bool RefusalProvesNotRun = false;
+    bool SawEnd = false;
+    bool Broken = false; ///< The stream was not of the agreed form.
+    std::string Partial; ///< Of the next stream event.
+  };
+
+  void onChunk(RequestHandle Request, const std::string &Part);
+  void onEvent(RequestHandle Request, Run &R, const std::string &Line);
+  void onDone(RequestHandle Request, const HttpResult &Result);
+  static RunEnd judge(const Run &R, const HttpResult &Result);
+
+  HttpClient &Client;
+  RunEvents Events;
+  std::map<uint32_t, Run> Runs;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/store_http.cpp
@@ -0,0 +1,71 @@
+#include "store_http_p.h"
+
+namespace shallotlatch {
+
+static constexpr Duration WatchTime = seconds(20);
+static constexpr Duration CallTimeout = seconds(3);
+
+static StoreReply::Status statusOf(const StoreRequest &Request,
+                                   const HttpResult &R) {
+  switch (R.Status) {
+  case 200:
+    return R.Whole ? StoreReply::Status::Ok : StoreReply::Status::Unknown;
+  case 304:
+    return StoreReply::Status::Unchanged;
+  case 404:
+    return StoreReply::Status::NotFound;
+  case 412:
+    return StoreReply::Status::Conflict;
+  case 429:
+  case 503:
+    return StoreReply::Status::Unavailable;
+  default:
+    break;
+  }
+  // Without an answer a write may have taken effect, if it was sent at all.
+  bool Write = Request.Kind == StoreRequest::Op::Write;
+  return Write && R.Sent ? StoreReply::Status::Unknown
+                         : StoreReply::Status::Unavailable;
+}
+
+static Version versionOf(const HttpResult &R) {
+  auto It = R.Headers.find("x-version");
+  bool Number = It != R.Headers.end() && !It->second.empty() &&
+                It->second.size() < 20 &&
+                It->second.find_first_not_of("0123456789") == std::string::npos;
+  return Version{Number ? std::stoull(It->second) : 0};
+}
+
+StoreHttp::StoreHttp(HttpClient &Client, Address At)
+    : Client(Client), At(std::move(At)) {}
+
+void StoreHttp::call(const StoreRequest &Request, Reply Done) {
+  HttpRequest Out;
+  Out.To = this->At;
+  Out.Path = "/objects/" + Request.Name;
+  Out.Method = "GET";
+  Out.Timeout = CallTimeout;
+  Out.Reuse = true;
+  if (Request.Kind == StoreRequest::Op::Write) {
+    Out.Method = "PUT";
+    Out.Body = Request.Body;
+    Out.Headers.emplace_back("If-Match",
+                             std::to_string(Request.Expected.Value));
+  } else if (Request.Kind == StoreRequest::Op::Watch) {
+    Out.Path += "?watch=" + std::to_string(Request.Expected.Value) +
+                "&waitMs=" + std::to_string(toMillis(WatchTime));
+    Out.Timeout = WatchTime + CallTimeout;
+  }
+  HttpEvents Events;
+  Events.Done = [Request, Done](const HttpResult &R) {
+    StoreReply Reply;
+    Reply.Token = Request.Token;
+    Reply.Result = statusOf(Request, R);
+    Reply.Number = versionOf(R);
+    Reply.Body = R.Body;
+    Done(Reply);
+  };
+  this->Client.start(std::move(Out), std::move(Events));
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/target_table.cpp
@@ -0,0 +1,378 @@
+#include "target_table_p.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+static constexpr uint32_t MaxTargets = 4096;
+static constexpr uint32_t NominalPromptTokens = 512;
+static constexpr uint32_t NominalOutputTokens = 128;
+// Weight of a new observation in the learned speeds.
+static constexpr double LearnRate = 0.3;
+// A target this many times slower than its good times is ejected.
+static constexpr double OutlierFactor = 5;
+static constexpr uint32_t OutlierReports = 2;
+static constexpr Duration AdaptPeriod = millis(1000);
+static constexpr Duration SlowEjection = seconds(3);
+static constexpr Duration LostEjection = seconds(1);
+static constexpr Duration MaxEjection = seconds(16);
+// Requests in a batch that slow a step down by about its base time.
+static constexpr double BatchSoftness = 16;
+
+TargetTable::TargetTable(const PolicySpec &Policy)
+    : Policy(Policy), LaneHeap(MaxTargets), OtherHeap(MaxTargets),
+      Prefixes(SHALLOTLATCH_CONFIG_PREFIX_ENTRIES, MaxTargets) {}
+
+void TargetTable::configure(const std::vector<const TargetSpec *> &Specs,
+                            const PolicySpec &NewPolicy) {
+  this->Policy = NewPolicy;
+  for (Row &R : this->Rows) {
+    R.Present = false;
+  }
+  for (const TargetSpec *Spec : Specs) {
+    TargetId Id = targetId(Spec->Name);
+    auto Added =
+        this->Index.emplace(Id, static_cast<uint32_t>(this->Rows.size()));
+    if (Added.second) {
+      if (this->Rows.size() == MaxTargets) {
+        this->Index.erase(Added.first);
+        continue;
+      }
+      this->Rows.emplace_back();
+      Row &R = this->Rows.back();
+      R.Id = Id;
+      R.Name = Spec->Name;
+      R.Service = Spec->Type == TargetType::Service;
+      R.DecodeUs = Spec->DecodeMsPerToken * 1000;
+      R.BestDecodeUs = R.DecodeUs;
+      R.PrefillUs = 1e6 / Spec->PrefillTokensPerSecond;
+      R.Limit = Spec->Slots;
+    }
+    Row &R = this->Rows[Added.first->second];
+    R.Present = true;
+    R.Limit = std::min(R.Limit, Spec->Slots);
+    R.Slots = Spec->Slots;
+  }
+  this->LiveCount = static_cast<uint32_t>(Specs.size());
+  this->chooseLane();
+}
+
+// Long prompts go to the targets with the fastest prefill, so that every other
+// target stays free of them.
+void TargetTable::chooseLane() {
+  std::vector<uint32_t> Order;
+  for (uint32_t I = 0; I < this->Rows.size(); ++I) {
+    this->Rows[I].Lane = false;
+    this->LaneHeap.remove(I);
+    this->OtherHeap.remove(I);
+    if (this->Rows[I].Present && !this->Rows[I].Leaving) {
+      Order.push_back(I);
+    }
+  }
+  std::stable_sort(Order.begin(), Order.end(), [&](uint32_t A, uint32_t B) {
+    return this->Rows[A].PrefillUs < this->Rows[B].PrefillUs;
+  });
+  size_t Lane = static_cast<size_t>(this->Policy.LongShare *
+                                    static_cast<double>(Order.size()));
+  Lane = std::max<size_t>(Lane, 1);
+  for (size_t I = 0; I < Order.size() && I < Lane; ++I) {
+    this->Rows[Order[I]].Lane = true;
+  }
+  for (uint32_t I = 0; I < this->Rows.size(); ++I) {
+    this->refresh(I, Time());
+  }
+  this->refreshLeast();
+}
+
+bool TargetTable::anyUsable() const {
+  return std::any_of(this->Rows.begin(), this->Rows.end(),
+                     [&](const Row &R) { return this->usable(R); });
+}
+
+uint32_t TargetTable::freeSlots() const {
+  uint32_t Sum = 0;
+  for (const Row &R : this->Rows) {
+    if (this->usable(R) && R.Limit > R.InFlight) {
+      Sum += R.Limit - R.InFlight;
+    }
+  }
+  return Sum;
+}
+
+TargetHandle TargetTable::find(TargetId Id) const {
+  auto It = this->Index.find(Id);
+  return It == this->Index.end() ? TargetHandle() : TargetHandle{It->second};
+}
+
+double TargetTable::nominalKey(const Row &R, Time Now) const {
+  double Wait = static_cast<double>(
+      std::max<int64_t>(0, (R.PrefillBusyUntil - Now).count()));
+  if (R.Service) {
+    return static_cast<double>(R.InFlight) / R.Slots;
+  }
+  double Slowdown =
+      (R.InFlight + 1 + BatchSoftness) / (R.InFlight + BatchSoftness);
+  return Wait + NominalPromptTokens * R.PrefillUs +
+         NominalOutputTokens * R.DecodeUs * Slowdown;
+}
+
+// Predicted time to the whole answer, the uncached prefill at its price.
+double TargetTable::predict(const Row &R, const Ask &A, uint32_t Cached,
+                            Time Now) const {
+  double Wait = static_cast<double>(
+      std::max<int64_t>(0, (R.PrefillBusyUntil - Now).count()));
+  uint32_t Uncached = A.PromptTokens - std::min(Cached, A.PromptTokens);
+  double Slowdown =
+      (R.InFlight + 1 + BatchSoftness) / (R.InFlight + BatchSoftness);
+  return Wait + Uncached * R.PrefillUs * this->Policy.PrefillPrice +
+         A.OutputTokens * R.DecodeUs * Slowdown;
+}
+
+void TargetTable::refresh(uint32_t I, Time Now) {
+  const Row &R = this->Rows[I];
+  IndexedHeap<double> &Mine = R.Lane ? this->LaneHeap : this->OtherHeap;
+  if (this->usable(R) && R.InFlight < R.Limit) {
+    Mine.set(I, this->nominalKey(R, Now));
+  } else {
+    Mine.remove(I);
+  }
+}
+
+Placement TargetTable::choose(const Ask &A, bool Long, bool SpareLane,
+                              Time Now) const {
+  Placement Best;
+  double BestCost = 0;
+  uint32_t BestCached = 0;
+  auto Consider = [&](uint32_t I, uint32_t Cached) {
+    double Cost = this->Rows[I].Service
+                      ? this->nominalKey(this->Rows[I], Now)
+                      : this->predict(this->Rows[I], A, Cached, Now);
+    if (!Best.Target.isValid() || Cost < BestCost) {
+      Best.Target = TargetHandle{I};
+      BestCost = Cost;
+      BestCached = Cached;
+    }
+  };
+  if (!SpareLane && !this->LaneHeap.empty()) {
+    Consider(this->LaneHeap.top(), 0);
+  }
+  if (!Long && !this->OtherHeap.empty()) {
+    Consider(this->OtherHeap.top(), 0);
+  }
+  std::array<PrefixMatch, 8> Matches;
+  uint32_t Found = this->Prefixes.match(A.Prefix, Now, Matches);
+  for (uint32_t I = 0; I < Found; ++I) {
+    const Row &R = this->Rows[Matches[I].Target];
+    bool Allowed = R.Lane ? !SpareLane : !Long;
+    if (Allowed && this->usable(R) && R.InFlight < R.Limit) {
+      Consider(Matches[I].Target, Matches[I].Tokens);
+    }
+  }
+  if (Best.Target.isValid()) {
+    Best.CachedTokens = std::min(BestCached, A.PromptTokens);
+    Best.PrefillUs = (A.PromptTokens - Best.CachedTokens) *
+                     this->Rows[Best.Target.Index].PrefillUs;
+  }
+  return Best;
+}
+
+void TargetTable::refreshLeast() {
+  this->LeastPrefillUs = 0;
+  this->LeastDecodeUs = 0;
+  bool First = true;
+  for (const Row &R : this->Rows) {
+    if (!R.Present || R.Leaving || R.Service) {
+      continue;
+    }
+    double Prefill = First ? R.PrefillUs : this->LeastPrefillUs;
+    double Decode = First ? R.BestDecodeUs : this->LeastDecodeUs;
+    this->LeastPrefillUs = std::min(Prefill, R.PrefillUs);
+    this->LeastDecodeUs = std::min(Decode, R.BestDecodeUs);
+    First = false;
+  }
+}
+
+Duration TargetTable::leastService(const Ask &A) const {
+  std::array<PrefixMatch, 8> Matches;
+  uint32_t Found = this->Prefixes.match(A.Prefix, Time(), Matches);
+  uint32_t Cached = 0;
+  for (uint32_t I = 0; I < Found; ++I) {
+    Cached = std::max(Cached, Matches[I].Tokens);
+  }
+  uint32_t Uncached = A.PromptTokens - std::min(Cached, A.PromptTokens);
+  double Us =
+      Uncached * this->LeastPrefillUs + A.OutputTokens * this->LeastDecodeUs;
+  return Duration(static_cast<int64_t>(Us));
+}
+
+double TargetTable::nominalCost(const Ask &A) const {
+  double Us = A.PromptTokens * this->LeastPrefillUs +
+              A.OutputTokens * this->LeastDecodeUs;
+  return std::max(Us, 1000.0);
+}
+
+uint32_t TargetTable::totalLimit() const {
+  uint32_t Sum = 0;
+  for (const Row &R : this->Rows) {
+    Sum += this->usable(R) ? R.Limit : 0;
+  }
+  return Sum;
+}
+
+void TargetTable::start(const Placement &P, const PrefixHashes &Prefix,
+                        Time Now) {
+  Row &R = this->Rows[P.Target.Index];
+  ++R.InFlight;
+  R.PeakInFlight = std::max(R.PeakInFlight, R.InFlight);
+  if (!R.Service) {
+    Time From = std::max(R.PrefillBusyUntil, Now);
+    R.PrefillBusyUntil = From + Duration(static_cast<int64_t>(P.PrefillUs));
+    this->Prefixes.add(Prefix, P.Target.Index, Now);
+  }
+  this->refresh(P.Target.Index, Now);
+}
+
+void TargetTable::adopt(TargetHandle H) {
+  ++this->Rows[H.Index].InFlight;
+  this->refresh(H.Index, Time());
+}
+
+void TargetTable::drop(TargetHandle H) {
+  Row &R = this->Rows[H.Index];
+  R.InFlight -= R.InFlight > 0 ? 1 : 0;
+  this->refresh(H.Index, Time());
+}
+
+void TargetTable::eject(Row &R, Duration For, Time Now) {
+  R.Limit = 0;
+  R.EjectedUntil = Now + For;
+  R.Probing = false;
+}
+
+void TargetTable::finish(TargetHandle H, const Release &Ended, double PrefillUs,
+                         Time Now) {
+  Row &R = this->Rows[H.Index];
+  R.InFlight -= R.InFlight > 0 ? 1 : 0;
+  if (Ended.Result == RunResult::Done) {
+    R.Failures = 0;
+    if (R.Probing) {
+      R.Probing = false;
+      R.Limit = std::max<uint32_t>(1, R.Slots / 2);
+    }
+  }
+  if (Ended.Result == RunResult::Lost || Ended.Result == RunResult::Unsent) {
+    Duration Back = LostEjection * (1 << std::min<uint32_t>(R.Failures, 4));
+    ++R.Failures;
+    this->Prefixes.forget(H.Index);
+    this->eject(R, std::min(Back, MaxEjection), Now);
+  }
+  // Only a first token that waited for no other prefill teaches the speed.
+  bool Clean = Ended.FirstToken.count() > 0 && PrefillUs > 10000 &&
+               R.PrefillBusyUntil <= Now;
+  if (Clean) {
+    double Ratio = static_cast<double>(Ended.FirstToken.count()) / PrefillUs;
+    Ratio = std::min(std::max(Ratio, 0.5), 2.0);
+    R.PrefillUs *= 1 + 0.1 * LearnRate * (Ratio - 1);
+  }
+  this->refresh(H.Index, Now);
+}
+
+void TargetTable::observe(const Progress &P, Time Now) {
+  TargetHandle H = this->find(P.Target);
+  if (!H.isValid()) {
+    return;
+  }
+  Row &R = this->Rows[H.Index];
+  R.WindowTokens += P.Tokens;
+  R.WindowUs += static_cast<double>(P.StreamTime.count());
+  R.WindowStalled += P.Stalled;
+  this->refresh(H.Index, Now);
+}
+
+uint32_t TargetTable::ejectedCount() const {
+  uint32_t Count = 0;
+  for (const Row &R : this->Rows) {
+    Count += R.Present && R.Limit == 0 ? 1 : 0;
+  }
+  return Count;
+}
+
+// Adds one eighth while the batch is full and tokens come in time; takes a
+// fifth when they come late; ejects a target far slower than in good times.
+void TargetTable::adapt(Row &R, Time Now) {
+  double Objective =
+      std::max(static_cast<double>(this->Policy.TokenInterval.count()),
+               2 * R.BestDecodeUs);
+  bool Slow = false;
+  if (R.WindowTokens + R.WindowStalled > 0) {
+    double Observed = R.WindowUs / std::max(R.WindowTokens, 1.0);
+    R.DecodeUs += LearnRate * (Observed - R.DecodeUs);
+    Slow = Observed > OutlierFactor * R.BestDecodeUs && Observed > Objective;
+    if (!Slow) {
+      double Rate = Observed < R.BestDecodeUs ? LearnRate : 0.01;
+      R.BestDecodeUs += Rate * (Observed - R.BestDecodeUs);
+    }
+  }
+  R.SlowReports = Slow ? R.SlowReports + 1 : 0;
+  bool Few = 2 * this->ejectedCount() < this->LiveCount;
+  if (R.SlowReports >= OutlierReports && Few) {
+    this->eject(R, SlowEjection, Now);
+    R.SlowReports = 0;
+  } else if (R.Limit > 0 && !R.Probing) {
+    if (R.DecodeUs > 1.25 * Objective) {
+      R.Limit = std::max<uint32_t>(1, R.Limit * 4 / 5);
+    } else if (R.DecodeUs < Objective && R.PeakInFlight >= R.Limit) {
+      R.Limit = std::min(R.Slots, R.Limit + 1 + R.Limit / 8);
+    }
+  }
+  R.PeakInFlight = R.InFlight;
+  R.WindowTokens = 0;
+  R.WindowUs = 0;
+  R.WindowStalled = 0;
+  R.WindowStart = Now;
+}
+
+void TargetTable::tick(Time Now) {
+  for (uint32_t I = 0; I < this->Rows.size(); ++I) {
+    Row &R = this->Rows[I];
+    if (!R.Service && Now - R.WindowStart >= AdaptPeriod) {
+      this->adapt(R, Now);
+    }
+    if (R.Limit == 0 && Now >= R.EjectedUntil) {
+      // One request shows whether the target is well again.
+      R.Limit = 1;
+      R.Probing = true;
+      R.DecodeUs = R.BestDecodeUs;
+    }
+    this->refresh(I, Now);
+  }
+  this->refreshLeast();
+}
+
+void TargetTable::setLeaving(TargetId Id, bool Leaving) {
+  TargetHandle H = this->find(Id);
+  if (H.isValid() && this->Rows[H.Index].Leaving != Leaving) {
+    this->Rows[H.Index].Leaving = Leaving;
+    this->chooseLane();
+  }
+}
+
+void TargetTable::evictPrefix(TargetId Id, uint32_t Hash) {
+  TargetHandle H = this->find(Id);
+  if (H.isValid()) {
+    this->Prefixes.evict(Hash, H.Index);
+  }
+}
+
+std::vector<TargetStats> TargetTable::stats() const {
+  std::vector<TargetStats> All;
+  for (const Row &R : this->Rows) {
+    if (R.Present) {
+      All.push_back(TargetStats{R.Id, R.Name, R.InFlight, R.Limit, R.DecodeUs,
+                                R.PrefillUs, R.Leaving, R.Limit == 0});
+    }
+  }
+  return All;
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/src/target_table_p.h
@@ -0,0 +1,128 @@
+/// \file
+/// Targets of one pool: what each may take, how fast it is, and which one a
+/// given ask should go to.
+#pragma once
+
+#include "indexed_heap_p.h"
+#include "messages_p.h"
+#include "prefix_index_p.h"
+#include "shallotlatch/model.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace shallotlatch {
+
+using TargetHandle = Handle<struct TargetRowTag>;
+
+/// Readable state of one target.
+struct TargetStats {
+  TargetId Id;
+  std::string Name;
+  uint32_t InFlight = 0;
+  uint32_t Limit = 0; ///< Requests granted at once, adapted.
+  double DecodeUs = 0;
+  double PrefillUs = 0;
+  bool Leaving = false;
+  bool Ejected = false;
+};
+
+/// One choice: where to, and what it is expected to cost.
+struct Placement {
+  TargetHandle Target;
+  uint32_t CachedTokens = 0;
+  double PrefillUs = 0; ///< Of the uncached part.
+};
+
+/// All figures are learned from own dispatches; the configuration's figures
+/// are where they start.
+class TargetTable {
+public:
+  explicit TargetTable(const PolicySpec &Policy);
+
+  /// Takes the targets of one pool; known ones keep what was learned.
+  void configure(const std::vector<const TargetSpec *> &Specs,
+                 const PolicySpec &Policy);
+  bool empty() const { return this->LiveCount == 0; }
+  /// Any target that is neither leaving nor ejected.
+  bool anyUsable() const;
+  uint32_t freeSlots() const;
+
+  TargetHandle find(TargetId Id) const;
+  TargetId id(TargetHandle H) const { return this->Rows[H.Index].Id; }
+
+  /// Best target with room; an invalid handle: none has room. Long asks use
+  /// the lane of the fastest prefills only; \p SpareLane keeps a short ask off
+  /// that lane.
+  Placement choose(const Ask &A, bool Long, bool SpareLane, Time Now) const;
+  /// Least service time of \p A on any usable target.
+  Duration leastService(const Ask &A) const;
+  /// Cost of \p A in microseconds on a nominal target of the pool.
+  double nominalCost(const Ask &A) const;
+  /// Requests that all usable targets together may run at once.
+  uint32_t totalLimit() const;
+
+  void start(const Placement &P, const PrefixHashes &Prefix, Time Now);
+  /// Counts a request in flight that an earlier owner granted.
+  void adopt(TargetHandle H);
+  void finish(TargetHandle H, const Release &R, double PrefillUs, Time Now);
+  /// A granted place is given back without news of the target.
+  void drop(TargetHandle H);
+  void observe(const Progress &P, Time Now);
+  void setLeaving(TargetId Id, bool Leaving);
+  void evictPrefix(TargetId Id, uint32_t Hash);
+  /// Adapts limits, ends ejections and refreshes the choice order.
+  void tick(Time Now);
+
+  std::vector<TargetStats> stats() const;
+
+private:
+  struct Row {
+    TargetId Id;
+    std::string Name;
+    bool Present = false;
+    bool Service = false;
+    bool Leaving = false;
+    bool Lane = false;
+    uint32_t Slots = 1;
+    uint32_t Limit = 1;
+    uint32_t InFlight = 0;
+    uint32_t PeakInFlight = 0; ///< Since the last adaptation.
+    double DecodeUs = 0;       ///< Per token, at the current batch.
+    double BestDecodeUs = 0;   ///< Per token, in good times.
+    double PrefillUs = 0;      ///< Per token.
+    Time PrefillBusyUntil;
+    Time EjectedUntil;
+    bool Probing = false;
+    uint32_t Failures = 0; ///< In a row.
+    uint32_t SlowReports = 0;
+    double WindowTokens = 0;
+    double WindowUs = 0;
+    uint32_t WindowStalled = 0;
+    Time WindowStart;
+  };
+
+  bool usable(const Row &R) const {
+    return R.Present && !R.Leaving && R.Limit > 0;
+  }
+  double predict(const Row &R, const Ask &A, uint32_t Cached, Time Now) const;
+  double nominalKey(const Row &R, Time Now) const;
+  void refresh(uint32_t Index, Time Now);
+  void eject(Row &R, Duration For, Time Now);
+  void adapt(Row &R, Time Now);
+  void chooseLane();
+  void refreshLeast();
+  uint32_t ejectedCount() const;
+
+  PolicySpec Policy;
+  std::vector<Row> Rows;
+  std::unordered_map<TargetId, uint32_t> Index;
+  IndexedHeap<double> LaneHeap;
+  IndexedHeap<double> OtherHeap;
+  PrefixIndex Prefixes;
+  uint32_t LiveCount = 0;
+  double LeastPrefillUs = 0; ///< Per token, over all present targets.
+  double LeastDecodeUs = 0;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/tools/load_run.h
@@ -0,0 +1,87 @@
+/// \file
+/// Sends a deployment's mix and checks every answer.
+#pragma once
+
+#include "http_client_p.h"
+#include "load_mix.h"
+#include "shallotlatch/model.h"
+
+#include <event2/event.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotlatch {
+
+/// One load run. It ends by itself.
+struct LoadInit {
+  std::vector<Address> Hosts;
+  Mix Requests;
+  double RatePerSecond = 40;
+  Duration Length = seconds(20);
+  uint64_t Seed = 1;
+  uint32_t MaxTries = 6; ///< Submissions of one request without an answer.
+};
+
+/// What callers learned of one request.
+struct LoadRecord {
+  std::string Marker;
+  DrawnRequest Drawn;
+  std::string Key;
+  std::vector<std::string> Verdicts; ///< One a submission; empty: no answer.
+  std::string Reason;                ///< Of the last verdict.
+  bool Ended = false;
+  bool WrongAnswer = false;
+  Duration FirstToken{0};
+  Duration Total{0};
+};
+
+class LoadRun {
+public:
+  LoadRun(event_base *Base, const LoadInit &Init);
+  ~LoadRun();
+  /// Sends, waits for all ends, and returns.
+  void run();
+  const std::vector<LoadRecord> &records() const { return this->Records; }
+
+private:
+  struct Flight {
+    size_t Record = 0;
+    Time Start;
+    std::string Prompt;
+    bool Stream = false;
+    std::string Partial;
+    std::string Text;
+    std::string Verdict;
+    std::string Reason;
+    bool SawEnd = false;
+    Duration FirstToken{0};
+  };
+
+  void arrive();
+  void submit(size_t Record);
+  void later(size_t Record, Duration Wait);
+  void onChunk(Flight &F, const std::string &Part);
+  void onDone(const std::shared_ptr<Flight> &F, const HttpResult &R);
+  void judgeAnswer(Flight &F, const HttpResult &R, LoadRecord &Out) const;
+  void probe(size_t Host);
+  const Address &nextHost();
+  void timer(Duration Wait, std::function<void()> Function);
+
+  event_base *Base;
+  LoadInit Init;
+  HttpClient Client;
+  std::mt19937_64 Random;
+  std::vector<LoadRecord> Records;
+  std::set<size_t> ReadyHosts;
+  size_t Turn = 0;
+  size_t Open = 0;
+  Time Start;
+  bool Sending = true;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/tools/shallotctl.cpp
@@ -0,0 +1,284 @@
+// Operators' command line over the administration API.
+#include "http_once.h"
+#include "report.h"
+#include "shallotlatch/model.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace shallotlatch;
+using nlohmann::json;
+
+static constexpr int ExitBadInput = 2;
+static constexpr int ExitFailed = 1;
+
+namespace {
+/// Where orders go, and who gives them.
+struct Connection {
+  std::vector<std::string> Admins;
+  std::string Key;
+  std::string Operator = "unknown";
+};
+} // namespace
+
+static std::string readFile(const std::string &Path) {
+  std::ifstream In(Path);
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+static HttpResult callAdmin(const Connection &C, const std::string &Admin,
+                            const std::string &Method, const std::string &Path,
+                            const std::string &Body, HttpHeaders Headers) {
+  HttpRequest Out;
+  Out.To = parseAddress(Admin);
+  Out.Method = Method;
+  Out.Path = Path;
+  Out.Body = Body;
+  Out.Headers = std::move(Headers);
+  Out.Headers.emplace_back("Authorization", "Bearer " + C.Key);
+  Out.Headers.emplace_back("X-Operator", C.Operator);
+  return httpOnce(Out);
+}
+
+static int explainFailure(const std::string &Admin, const HttpResult &R) {
+  json Body = json::parse(R.Body, nullptr, false);
+  if (R.Status == 0) {
+    std::cerr << "shallotctl: " << Admin << " does not answer\n";
+  } else if (Body.is_object() && Body.contains("detail")) {
+    std::cerr << "shallotctl: " << Body.value("title", "refused") << ": "
+              << Body.value("detail", "") << "\n";
+  } else {
+    std::cerr << "shallotctl: " << Admin << " answered status " << R.Status
+              << "\n";
+  }
+  return ExitFailed;
+}
+
+static int checkFile(const std::string &Path) {
+  try {
+    std::shared_ptr<const Config> C = parseConfig(readFile(Path));
+    std::cout << Path << ": valid, " << C->Customers.size() << " customers, "
+              << C->Tiers.size() << " tiers, " << C->Targets.size()
+              << " targets, " << C->Kinds.size() << " kinds\n";
+    return 0;
+  } catch (const ConfigError &E) {
+    for (const std::string &Mistake : E.Mistakes) {
+      std::cerr << Path << ": " << Mistake << "\n";
+    }
+    return ExitBadInput;
+  }
+}
+
+// Names list entries instead of numbering them, so that a difference reads
+// as a sentence about one customer, target or kind.
+static json byName(const json &Config) {
+  json Result = json::object();
+  for (auto It = Config.begin(); It != Config.end(); ++It) {
+    if (It.key() == "meta") {
+      continue;
+    }
+    if (!It->is_array()) {
+      Result[It.key()] = *It;
+      continue;
+    }
+    json Named = json::object();
+    for (size_t I = 0; I < It->size(); ++I) {
+      json Entry = (*It)[I];
+      std::string Name = Entry.value("name", std::to_string(I));
+      if (It.key() == "tiers") {
+        Entry["rank"] = I;
+      }
+      Named[Name] = Entry;
+    }
+    Result[It.key()] = Named;
+  }
+  return Result;
+}
+
+static void printDifference(const json &Old, const json &New) {
+  json Steps = json::diff(Old, New);
+  if (Steps.empty()) {
+    std::cout << "no difference\n";
+  }
+  for (const json &Step : Steps) {
+    std::string Op = Step["op"];
+    std::string Path = Step["path"];
+    if (Op == "add") {
+      std::cout << "+ " << Path << ": " << Step["value"].dump() << "\n";
+    } else if (Op == "remove") {
+      std::cout << "- " << Path << ": "
+                << Old.at(json::json_pointer(Path)).dump() << "\n";
+    } else {
+      std::cout << "~ " << Path << ": "
+                << Old.at(json::json_pointer(Path)).dump() << " -> "
+                << Step["value"].dump() << "\n";
+    }
+  }
+}
+
+static int reviewFile(const Connection &C, const std::string &Path) {
+  int Bad = checkFile(Path);
+  if (Bad != 0) {
+    return Bad;
+  }
+  HttpResult R =
+      callAdmin(C, C.Admins.front(), "GET", "/v1/config", "", HttpHeaders());
+  if (R.Status != 200) {
+    return explainFailure(C.Admins.front(), R);
+  }
+  json Old = json::parse(R.Body, nullptr, false);
+  json New = json::parse(printConfig(*parseConfig(readFile(Path))));
+  // Both sides in canonical form: a default left out is no difference.
+  if (Old.is_object() && !Old.empty()) {
+    Old = json::parse(printConfig(*parseConfig(R.Body)));
+  }
+  printDifference(byName(Old), byName(New));
+  if (R.Headers.count("x-from-copy") != 0) {
+    std::cout << "the platform's service does not answer: compared with the "
+                 "host's copy\n";
+  }
+  std::cout << "reviewed against version " << R.Headers["x-version"]
+            << "; apply with: shallotctl apply " << Path << " --version "
+            << R.Headers["x-version"] << "\n";
+  return 0;
+}
+
+static int applyFile(const Connection &C, const std::string &Path,
+                     uint64_t Reviewed) {
+  int Bad = checkFile(Path);
+  if (Bad != 0) {
+    return Bad;
+  }
+  HttpResult R =
+      callAdmin(C, C.Admins.front(), "PUT", "/v1/config", readFile(Path),
+                {{"If-Match", std::to_string(Reviewed)}});
+  if (R.Status != 200) {
+    return explainFailure(C.Admins.front(), R);
+  }
+  std::cout << "applied as version " << json::parse(R.Body)["version"] << "\n";
+  return 0;
+}
+
+static int showPath(const Connection &C, const std::string &Path) {
+  for (const std::string &Admin : C.Admins) {
+    HttpResult R = callAdmin(C, Admin, "GET", Path, "", HttpHeaders());
+    if (R.Status != 200) {
+      return explainFailure(Admin, R);
+    }
+    std::cout << R.Body;
+  }
+  return 0;
+}
+
+static int order(const Connection &C, const std::string &Method,
+                 const std::string &Path) {
+  for (const std::string &Admin : C.Admins) {
+    HttpResult R = callAdmin(C, Admin, Method, Path, "", HttpHeaders());
+    if (R.Status != 200) {
+      return explainFailure(Admin, R);
+    }
+    std::cout << R.Body;
+  }
+  return 0;
+}
+
+static int report(const Connection &C, const std::string &HtmlPath) {
+  std::vector<HostReport> Hosts;
+  for (const std::string &Admin : C.Admins) {
+    HostReport H;
+    H.Admin = Admin;
+    for (const char *Part : {"status", "burn", "targets", "pools"}) {
+      HttpResult R = callAdmin(C, Admin, "GET", std::string("/v1/") + Part, "",
+                               HttpHeaders());
+      H.Parts[Part] = R.Status == 200 ? json::parse(R.Body) : json();
+    }
+    Hosts.push_back(H);
+  }
+  std::cout << reportText(Hosts);
+  if (!HtmlPath.empty()) {
+    std::ofstream(HtmlPath) << reportHtml(Hosts);
+    std::cout << "written: " << HtmlPath << "\n";
+  }
+  return 0;
+}
+
+int main(int Argc, char **Argv) {
+  signal(SIGPIPE, SIG_IGN);
+  CLI::App App("Checks, reviews and applies configurations, and shows what "
+               "the hosts do.");
+  App.require_subcommand(1);
+  Connection C;
+  C.Admins = {"127.0.0.1:7500"};
+  App.add_option("--admin", C.Admins, "Admin listeners, IP:port")
+      ->delimiter(',')
+      ->capture_default_str();
+  App.add_option("--key", C.Key, "Admin key")->envname("SHALLOT_ADMIN_KEY");
+  App.add_option("--as", C.Operator, "Name of the operator, kept with changes")
+      ->envname("USER");
+  std::string File;
+  uint64_t Reviewed = 0;
+  CLI::App *Check = App.add_subcommand("check", "Check a configuration file");
+  CLI::App *Review =
+      App.add_subcommand("review", "Show what a file would change");
+  CLI::App *Apply = App.add_subcommand("apply", "Put a reviewed file in force");
+  for (CLI::App *Command : {Check, Review, Apply}) {
+    Command->add_option("file", File, "Configuration, JSON")
+        ->required()
+        ->check(CLI::ExistingFile);
+  }
+  Apply->add_option("--version", Reviewed, "The version that was reviewed")
+      ->required();
+  CLI::App *Status = App.add_subcommand("status", "State of hosts");
+  CLI::App *HostsCommand =
+      App.add_subcommand("hosts", "Hosts as the first admin's host sees them");
+  CLI::App *Targets = App.add_subcommand("targets", "Targets of owned pools");
+  CLI::App *Pools = App.add_subcommand("pools", "Owned pools");
+  CLI::App *Requests = App.add_subcommand("requests", "Requests held");
+  CLI::App *Quarantine =
+      App.add_subcommand("quarantine", "Contents that crashed targets");
+  std::string Clear;
+  Quarantine->add_option("--clear", Clear, "Fingerprint to clear");
+  CLI::App *Drain = App.add_subcommand("drain", "Stop hosts gracefully");
+  std::string Html;
+  CLI::App *Report = App.add_subcommand("report", "Service-level burn");
+  Report->add_option("--html", Html, "Also write one HTML page");
+  CLI11_PARSE(App, Argc, Argv);
+  try {
+    if (Check->parsed()) {
+      return checkFile(File);
+    }
+    if (Review->parsed()) {
+      return reviewFile(C, File);
+    }
+    if (Apply->parsed()) {
+      return applyFile(C, File, Reviewed);
+    }
+    if (Drain->parsed()) {
+      return order(C, "POST", "/v1/drain");
+    }
+    if (Quarantine->parsed() && !Clear.empty()) {
+      return order(C, "DELETE", "/v1/quarantine/" + Clear);
+    }
+    if (Report->parsed()) {
+      return report(C, Html);
+    }
+    for (CLI::App *Show :
+         {Status, HostsCommand, Targets, Pools, Requests, Quarantine}) {
+      if (Show->parsed()) {
+        return showPath(C, "/v1/" + Show->get_name());
+      }
+    }
+  } catch (const std::exception &E) {
+    std::cerr << "shallotctl: " << E.what() << "\n";
+    return ExitBadInput;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tools/standin_targets.cpp
@@ -0,0 +1,285 @@
+#include "standin_targets.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+using nlohmann::json;
+
+static constexpr Duration RestartTime = seconds(1);
+static const std::string CrashMarker = "CRASH-ENGINE";
+
+std::string markerOf(const std::string &Text) {
+  static const std::string Open = "#req:";
+  size_t Start = Text.find(Open);
+  if (Start == std::string::npos) {
+    return "";
+  }
+  Start += Open.size();
+  size_t End = Text.find('#', Start);
+  return End == std::string::npos ? "" : Text.substr(Start, End - Start);
+}
+
+std::string tokenText(const std::string &Prompt, uint32_t Index) {
+  return " " + toHex(hash64(Prompt, Index + 1)).substr(10);
+}
+
+std::string serviceAnswer(const std::string &Body) {
+  return json{{"done", toHex(hash64(Body))}}.dump();
+}
+
+void Ledger::add(const std::string &Text, const std::string &RequestId) {
+  std::string Marker = markerOf(Text);
+  if (!Marker.empty()) {
+    ++this->Markers[Marker];
+  }
+  ++this->RequestIds[RequestId];
+}
+
+static void sendLedger(evhttp_request *Http, const Ledger &L,
+                       const EngineCounts &Counts) {
+  json Body{{"markers", L.Markers},
+            {"requestIds", L.RequestIds},
+            {"prefillTokens", Counts.PrefillTokens},
+            {"cachedTokens", Counts.CachedTokens},
+            {"uselessTokens", Counts.UselessTokens},
+            {"outputTokens", Counts.OutputTokens}};
+  sendText(Http, 200, "application/json", Body.dump());
+}
+
+static timeval toTimeval(double Us) {
+  timeval T;
+  T.tv_sec = static_cast<time_t>(Us / 1e6);
+  T.tv_usec = static_cast<suseconds_t>(Us) % 1000000;
+  return T;
+}
+
+StandinEngine::StandinEngine(event_base *Base, Address At,
+                             const EngineInit &Init)
+    : Base(Base), At(std::move(At)), Model(Init),
+      Stepper(event_new(
+          Base, -1, 0,
+          [](evutil_socket_t, short, void *Self) {
+            static_cast<StandinEngine *>(Self)->step();
+          },
+          this)) {
+  this->open();
+}
+
+StandinEngine::~StandinEngine() { event_free(this->Stepper); }
+
+void StandinEngine::open() {
+  this->Server = std::make_unique<HttpServer>(
+      this->Base, ListenInit{this->At, 16384, 16 * 1024 * 1024, seconds(600)},
+      [this](evhttp_request *Http) { this->onRequest(Http); });
+  this->Down = false;
+}
+
+void StandinEngine::onRequest(evhttp_request *Http) {
+  std::string Path = readRequest(Http).Path;
+  if (Path == "/v1/completions") {
+    this->complete(Http);
+  } else if (Path == "/load") {
+    json Body{{"running", this->Model.running()},
+              {"queued", this->Model.queued()},
+              {"leaving", this->Leaving},
+              {"evicted", this->Model.takeEvicted()}};
+    sendText(Http, 200, "application/json", Body.dump());
+  } else if (Path == "/ledger") {
+    sendLedger(Http, this->Ran, this->Model.counts());
+  } else if (Path == "/control") {
+    this->control(Http);
+  } else {
+    sendText(Http, 404, "text/plain", "no such path\n");
+  }
+}
+
+// {"slowdown": F, "leaving": B, "crash": true}
+void StandinEngine::control(evhttp_request *Http) {
+  json Root = json::parse(readRequest(Http).Body, nullptr, false);
+  if (Root.is_object()) {
+    this->Slowdown = Root.value("slowdown", this->Slowdown);
+    this->Leaving = Root.value("leaving", this->Leaving);
+    this->CrashWanted = Root.value("crash", false);
+  }
+  sendText(Http, 200, "application/json", "{}");
+  if (this->CrashWanted) {
+    this->schedule();
+  }
+}
+
+void StandinEngine::complete(evhttp_request *Http) {
+  RawRequest Raw = readRequest(Http);
+  json Root = json::parse(Raw.Body, nullptr, false);
+  if (!Root.is_object() || !Root.contains("prompt")) {
+    sendText(Http, 400, "text/plain", "no prompt\n");
+    return;
+  }
+  Stream S;
+  S.Http = Http;
+  S.Owner = this;
+  S.Number = this->NextNumber++;
+  S.Prompt = Root["prompt"].get<std::string>();
+  this->Ran.add(S.Prompt, Raw.Headers["x-request-id"]);
+  uint32_t Tokens = static_cast<uint32_t>(
+      S.Prompt.size() / SHALLOTLATCH_CONFIG_BYTES_PER_TOKEN + 1);
+  this->Model.add(S.Number, Tokens, Root.value("max_tokens", 16),
+                  hashPrefixes(S.Prompt));
+  this->CrashWanted =
+      this->CrashWanted || S.Prompt.find(CrashMarker) != std::string::npos;
+  Stream &Kept = this->Streams[S.Number] = S;
+  evhttp_connection *Connection = evhttp_request_get_connection(Http);
+  Kept.CloseWatch = event_new(
+      this->Base,
+      bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
+      EV_CLOSED,
+      [](evutil_socket_t, short, void *Arg) {
+        Stream *Gone = static_cast<Stream *>(Arg);
+        Gone->Owner->drop(Gone->Number);
+      },
+      &Kept);
+  event_add(Kept.CloseWatch, nullptr);
+  this->schedule();
+}
+
+// The caller went away: the engine cancels its request.
+void StandinEngine::drop(uint64_t Number) {
+  auto It = this->Streams.find(Number);
+  if (It == this->Streams.end()) {
+    return;
+  }
+  Stream S = It->second;
+  this->Streams.erase(It);
+  event_free(S.CloseWatch);
+  this->Model.cancel(Number);
+  if (!S.Started) {
+    evhttp_send_reply_start(S.Http, 200, "OK");
+  }
+  evhttp_send_reply_end(S.Http);
+}
+
+void StandinEngine::schedule() {
+  if (this->Scheduled) {
+    return;
+  }
+  this->Scheduled = true;
+  double Us = this->CrashWanted ? 1000 : this->Model.beginStep(this->Slowdown);
+  timeval T = toTimeval(Us);
+  event_add(this->Stepper, &T);
+}
+
+void StandinEngine::step() {
+  this->Scheduled = false;
+  if (this->Down) {
+    this->open();
+    return;
+  }
+  if (this->CrashWanted) {
+    this->crash();
+    return;
+  }
+  for (const EngineEvent &E : this->Model.step()) {
+    this->emit(E);
+  }
+  if (!this->Model.idle()) {
+    this->schedule();
+  }
+}
+
+void StandinEngine::emit(const EngineEvent &E) {
+  auto It = this->Streams.find(E.Request);
+  if (It == this->Streams.end()) {
+    return;
+  }
+  Stream &S = It->second;
+  if (!S.Started) {
+    S.Started = true;
+    addHeader(S.Http, "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(S.Http, 200, "OK");
+  }
+  std::string Text =
+      "data: " + json{{"text", tokenText(S.Prompt, E.TokenIndex)}}.dump() +
+      "\n\n";
+  if (E.Last) {
+    Text += "data: [DONE]\n\n";
+  }
+  evbuffer *Out = evbuffer_new();
+  evbuffer_add(Out, Text.data(), Text.size());
+  evhttp_send_reply_chunk(S.Http, Out);
+  evbuffer_free(Out);
+  if (E.Last) {
+    evhttp_request *Http = S.Http;
+    event_free(S.CloseWatch);
+    this->Streams.erase(It);
+    evhttp_send_reply_end(Http);
+  }
+}
+
+// Every connection breaks; the engine is back after a restart, cache empty.
+void StandinEngine::crash() {
+  this->CrashWanted = false;
+  for (auto &Item : this->Streams) {
+    event_free(Item.second.CloseWatch);
+  }
+  this->Streams.clear();
+  this->Model.crash();
+  this->Server.reset();
+  this->Down = true;
+  this->Scheduled = true;
+  timeval T = toTimeval(static_cast<double>(RestartTime.count()));
+  event_add(this->Stepper, &T);
+}
+
+StandinService::StandinService(event_base *Base, Address At, Duration Work)
+    : Base(Base), Work(Work),
+      Server(Base, ListenInit{At, 16384, 16 * 1024 * 1024, seconds(600)},
+             [this](evhttp_request *Http) { this->onRequest(Http); }),
+      Ticker(event_new(
+          Base, -1, EV_PERSIST,
+          [](evutil_socket_t, short, void *Self) {
+            static_cast<StandinService *>(Self)->tick();
+          },
+          this)) {
+  timeval Period{0, 1000};
+  event_add(this->Ticker, &Period);
+}
+
+StandinService::~StandinService() { event_free(this->Ticker); }
+
+void StandinService::onRequest(evhttp_request *Http) {
+  RawRequest Raw = readRequest(Http);
+  if (Raw.Path == "/ledger") {
+    sendLedger(Http, this->Ran, EngineCounts());
+    return;
+  }
+  if (Raw.Path == "/load") {
+    sendText(Http, 200, "application/json",
+             json{{"running", this->Jobs.size()}, {"leaving", false}}.dump());
+    return;
+  }
+  this->Ran.add(Raw.Body, Raw.Headers["x-request-id"]);
+  if (this->Work.count() == 0) {
+    sendText(Http, 200, "application/json", serviceAnswer(Raw.Body));
+    return;
+  }
+  this->Jobs.push_back(Job{Http, Raw.Body, ProcessClock::now() + this->Work});
+}
+
+void StandinService::tick() {
+  Time Now = ProcessClock::now();
+  std::vector<Job> Due;
+  auto Split =
+      std::stable_partition(this->Jobs.begin(), this->Jobs.end(),
+                            [&](const Job &J) { return J.Until > Now; });
+  Due.assign(Split, this->Jobs.end());
+  this->Jobs.erase(Split, this->Jobs.end());
+  for (const Job &J : Due) {
+    sendText(J.Http, 200, "application/json", serviceAnswer(J.Body));
+  }
+}
+
+} // namespace shallotlatch
