Tests: unit, golden sessions, stateful fuzz against an oracle; claims tell only what is stored

Cause: a home told a second claimant "taken" on a claim that was still being written. Two homes could tell two claimants to wait for each other, and both would wait to their deadlines (seen in the golden session same-key-everywhere, where "taken" came 6 ms before the claim was granted). Now such a claim waits for the write to end; the session shows "taken" 14 ms after the grant.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -58,6 +58,8 @@
   ++this->Counts.Submitted;
   Request &R = this->row(H);
   R = Request();
+  R.ActivePlace = static_cast<uint32_t>(this->Active.size());
+  this->Active.push_back(H.Index);
   R.Sub = S;
   R.Sub.HasKey = S.HasKey && !Kind->Idempotent;
   R.Tier = this->Env.Conf->rank(*Kind);
@@ -137,6 +139,10 @@
   this->ByDeadline.remove(H.Index);
   this->ByAsk.erase(R.Current);
   this->ByAsk.erase(R.First);
+  uint32_t Moved = this->Active.back();
+  this->Active[R.ActivePlace] = Moved;
+  this->Table[Moved].ActivePlace = R.ActivePlace;
+  this->Active.pop_back();
   this->Free.push_back(H.Index);
   this->Env.Commands.emplace_back(AnswerCommand{H, V, std::move(Answer)});
 }
@@ -269,8 +275,9 @@
 
 EntryStats Entry::stats() const {
   EntryStats S = this->Counts;
-  for (const Request &R : this->Table) {
-    S.Held += R.State != RequestState::Free ? 1 : 0;
+  for (uint32_t I : this->Active) {
+    const Request &R = this->Table[I];
+    ++S.Held;
     S.Waiting += R.State == RequestState::Waiting ? 1 : 0;
     S.InFlight += R.State == RequestState::Sent ? 1 : 0;
   }
@@ -279,11 +286,10 @@
 
 std::vector<RequestStats> Entry::requests() const {
   std::vector<RequestStats> All;
-  for (const Request &R : this->Table) {
-    if (R.State != RequestState::Free) {
-      All.push_back(RequestStats{R.First, R.State, R.Sub.Kind, R.Target,
-                                 this->Env.Now - R.Since});
-    }
+  for (uint32_t I : this->Active) {
+    const Request &R = this->Table[I];
+    All.push_back(RequestStats{R.First, R.State, R.Sub.Kind, R.Target,
+                               this->Env.Now - R.Since});
   }
   return All;
 }
--- a/src/entry_keys.cpp
+++ b/src/entry_keys.cpp
@@ -125,7 +125,9 @@
     return;
   }
   this->NextClaimRetry = this->Env.Now + ClaimRetry / 4;
-  for (uint32_t I = 0; I < this->Table.size(); ++I) {
+  // A copy: rows leave the list when they end.
+  std::vector<uint32_t> Rows = this->Active;
+  for (uint32_t I : Rows) {
     Request &R = this->Table[I];
     bool Due = this->Env.Now - R.ClaimedAt >= ClaimRetry;
     if (R.State == RequestState::Claiming && Due) {
@@ -141,7 +143,8 @@
 }
 
 void Entry::hostGone(HostId Host) {
-  for (uint32_t I = 0; I < this->Table.size(); ++I) {
+  std::vector<uint32_t> Rows = this->Active;
+  for (uint32_t I : Rows) {
     const Request &R = this->Table[I];
     if (R.State == RequestState::Joining && R.Holder.Host == Host) {
       this->endUnjoined(RequestHandle{I});
--- a/src/entry_p.h
+++ b/src/entry_p.h
@@ -110,6 +110,7 @@
 private:
   struct Request {
     RequestState State = RequestState::Free;
+    uint32_t ActivePlace = 0; ///< Own place in Active.
     Submission Sub;
     TierRank Tier = 0;
     bool CrossRegion = false;
@@ -188,6 +189,7 @@
   OutcomeLog Outcomes;
   std::vector<Request> Table;
   std::vector<uint32_t> Free;
+  std::vector<uint32_t> Active; ///< Rows in use, in no order.
   std::unordered_map<AskId, RequestHandle> ByAsk;
   IndexedHeap<int64_t> ByDeadline;
   std::unordered_map<std::string, std::vector<PoolRef>> Pools; ///< By group.
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -178,7 +178,8 @@
 }
 
 void Entry::onAskAgain(HostId From, const AskAgain &A) {
-  for (Request &R : this->Table) {
+  for (uint32_t I : this->Active) {
+    Request &R = this->Table[I];
     bool Mine =
         R.State == RequestState::Waiting && R.Pool == A.Pool && R.Owner == From;
     if (Mine && this->Env.Now - R.AskedAt > AskInTransit) {
@@ -208,7 +209,8 @@
       O.CompleteAt = this->Env.Now;
     }
   }
-  for (Request &R : this->Table) {
+  for (uint32_t I : this->Active) {
+    Request &R = this->Table[I];
     bool Asked = R.State == RequestState::Waiting ||
                  R.State == RequestState::Dispatching ||
                  R.State == RequestState::Sent;
@@ -225,7 +227,8 @@
 }
 
 void Entry::fillHoldLists(std::map<PoolId, HoldList> &Lists) const {
-  for (const Request &R : this->Table) {
+  for (uint32_t I : this->Active) {
+    const Request &R = this->Table[I];
     auto It = Lists.end();
     if (R.State == RequestState::Waiting ||
         R.State == RequestState::Dispatching || R.State == RequestState::Sent) {
@@ -294,7 +297,8 @@
   Duration Window = ProgressPeriod;
   this->NextProgress = this->Env.Now + Window;
   std::map<std::pair<PoolId, TargetId>, std::pair<HostId, Progress>> Sums;
-  for (Request &R : this->Table) {
+  for (uint32_t I : this->Active) {
+    Request &R = this->Table[I];
     if (R.State != RequestState::Sent || R.Tokens == 0) {
       continue;
     }
--- a/src/key_home.cpp
+++ b/src/key_home.cpp
@@ -93,6 +93,29 @@
   }
 }
 
+// The key has a claim already. Only a claim that stands in the store is told
+// to others: one that this write still has to bring may lose to another home's.
+bool KeyHome::placeTaken(Object &O, const PendingClaim &P,
+                         const KeyBucket &Next, const StoredClaim &Stored) {
+  const Claim &C = P.Wanted;
+  bool Durable =
+      O.Content.Slot == Next.Slot && O.Content.Claims.count(C.Key) != 0;
+  bool Own = Stored.Owner == C.Owner;
+  if (!Durable) {
+    if (!Own) {
+      O.Deferred.push_back(P);
+    }
+    return Own;
+  }
+  ClaimResult Result = ClaimResult::Granted;
+  if (!Own) {
+    Result = Stored.BodyHash == C.BodyHash ? ClaimResult::Taken
+                                           : ClaimResult::Conflict;
+  }
+  this->reply(P.From, C, Result, Own ? nullptr : &Stored);
+  return false;
+}
+
 // Judges one claim against the object as it is known; returns true when it
 // was added to Next and so depends on the write.
 bool KeyHome::place(Object &O, const PendingClaim &P, KeyBucket &Next) {
@@ -113,21 +136,7 @@
   }
   auto It = Next.Claims.find(C.Key);
   if (It != Next.Claims.end()) {
-    const StoredClaim &Stored = It->second;
-    if (Stored.Owner == C.Owner) {
-      // Its own claim: durable if it was read or written before, and granted
-      // by this write if it was added a moment ago.
-      bool Durable =
-          O.Content.Slot == Next.Slot && O.Content.Claims.count(C.Key) != 0;
-      if (Durable) {
-        this->reply(P.From, C, ClaimResult::Granted, nullptr);
-      }
-      return !Durable;
-    }
-    ClaimResult Result = Stored.BodyHash == C.BodyHash ? ClaimResult::Taken
-                                                       : ClaimResult::Conflict;
-    this->reply(P.From, C, Result, &Stored);
-    return false;
+    return this->placeTaken(O, P, Next, It->second);
   }
   if (Slot == 0 && Next.Claims.size() >= MaxUndatedClaims) {
     dropEnded(Next);
@@ -177,7 +186,8 @@
   // After the claims: an end may have overtaken its own claim.
   this->settle(O, O.Next);
   O.SettlesInWrite = O.Settles.size();
-  O.Claims.clear();
+  O.Claims = std::move(O.Deferred);
+  O.Deferred.clear();
   std::string Body = printKeyBucket(O.Next);
   bool Same = O.InWrite.empty() && Body == printKeyBucket(O.Content);
   if (Same || Body.size() > SHALLOTLATCH_CONFIG_MAX_OBJECT_BYTES) {
--- a/src/key_home_p.h
+++ b/src/key_home_p.h
@@ -52,6 +52,7 @@
     KeyBucket Content;
     KeyBucket Next; ///< As written by the call in flight.
     std::vector<PendingClaim> Claims;
+    std::vector<PendingClaim> Deferred; ///< Wait for the write to end.
     std::vector<Settle> Settles;
     std::vector<PendingClaim> InWrite; ///< Granted if the write succeeds.
     size_t SettlesInWrite = 0;
@@ -65,6 +66,8 @@
   void reply(HostId From, const Claim &C, ClaimResult Result,
              const StoredClaim *Stored);
   bool place(Object &O, const PendingClaim &P, KeyBucket &Next);
+  bool placeTaken(Object &O, const PendingClaim &P, const KeyBucket &Next,
+                  const StoredClaim &Stored);
   void settle(const Object &O, KeyBucket &Next) const;
   void onLoaded(Object &O, const StoreReply &Reply);
   void onWritten(Object &O, const StoreReply &Reply);
--- /dev/null
+++ b/src/store_memory_p.h
@@ -0,0 +1,44 @@
+/// \file
+/// The object API in memory, for tests and for embedding without a platform.
+#pragma once
+
+#include "store_p.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallotlatch {
+
+/// Answers at once; a watch answers when its object changes.
+class StoreMemory : public Store {
+public:
+  void call(const StoreRequest &Request, Reply Done) override;
+  /// Current content; an empty body and an invalid version: absent.
+  StoreReply peek(const std::string &Name) const;
+  uint64_t writes() const { return this->Writes; }
+  uint64_t reads() const { return this->Reads; }
+  /// Ends every waiting watch with \p Result.
+  void endWatches(StoreReply::Status Result);
+
+private:
+  struct Object {
+    Version Number;
+    std::string Body;
+  };
+  struct Watcher {
+    StoreRequest Request;
+    Reply Done;
+  };
+
+  void answer(const StoreRequest &Request, const Reply &Done) const;
+  void write(const StoreRequest &Request, const Reply &Done);
+
+  std::map<std::string, Object> Objects;
+  std::vector<Watcher> Watchers;
+  uint64_t Writes = 0;
+  uint64_t Reads = 0;
+};
+
+} // namespace shallotlatch
--- /dev/null
+++ b/tests/fleet_fake.h
@@ -0,0 +1,156 @@
+/// \file
+/// Several nodes joined by an in-memory message list, with a store and targets
+/// that fail on demand. Virtual time; the same seed gives the same run.
+#pragma once
+
+#include "node_p.h"
+#include "oracle.h"
+#include "peer_codec_p.h"
+#include "store_memory_p.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotlatch {
+
+struct FleetInit {
+  uint32_t Hosts = 4;
+  std::vector<std::string> Regions = {"north", "south"};
+  uint64_t Seed = 1;
+  std::string ConfigJson;
+  Duration LinkDelay = millis(1);
+  Duration RunTime = millis(100); ///< Of one request at a target.
+  bool Transcript = false;
+};
+
+/// What a caller sends.
+struct FakeRequest {
+  std::string Kind;
+  std::string Customer;
+  std::string Key; ///< Idempotency key; may be empty.
+  std::string Body;
+  uint32_t PromptTokens = 100;
+  uint32_t OutputTokens = 10;
+  Duration Deadline = seconds(10);
+};
+
+/// A small configuration: two regions, one engine group, one service group.
+std::string testConfig(uint32_t Revision = 0);
+/// A UUIDv7 of the given date.
+std::string uuid7(int64_t Ms, uint32_t Number);
+
+class FleetFake {
+public:
+  explicit FleetFake(const FleetInit &Init);
+
+  /// Submits at host \p Host; returns the submission's number. A host that is
+  /// down takes nothing: the caller sees a refused connection.
+  size_t submit(uint32_t Host, const FakeRequest &R);
+  void cancel(size_t Submission);
+  /// Puts a configuration in force through the store.
+  void apply(const std::string &Json);
+  void advance(Duration Length);
+  /// Runs until every submission has ended, within \p Limit.
+  void settle(Duration Limit);
+
+  /// Faults.
+  void kill(uint32_t Host);
+  void start(uint32_t Host);
+  void pause(uint32_t Host) { this->Hosts[Host].Paused = true; }
+  void resume(uint32_t Host);
+  void cut(uint32_t A, uint32_t B, bool OneWay);
+  void healLinks() { this->Cuts.clear(); }
+  double DropShare = 0;
+  double RepeatShare = 0;
+  Duration ExtraDelay{0}; ///< Up to this much, at random, reordering.
+  bool StoreOut = false;
+  double StoreLoseShare = 0; ///< Of writes that take effect unanswered.
+  Duration StoreDelay = millis(3);
+  /// All runs of a target are lost.
+  void crashTarget(const std::string &Name);
+  std::set<std::string> RefusingTargets; ///< Do not accept connections.
+  std::set<std::string> PoisonBodies;    ///< Crash whoever runs them.
+
+  Node &node(uint32_t Host) { return *this->Hosts[Host].Decisions; }
+  bool up(uint32_t Host) const {
+    return this->Hosts[Host].Decisions != nullptr;
+  }
+  const Verdict *verdict(size_t Submission) const;
+  const std::string &answerOf(size_t Submission) const;
+  uint32_t runsOf(size_t Submission) const;
+  Oracle &oracle() { return this->Truth; }
+  StoreMemory &store() { return this->Platform; }
+  const std::vector<std::string> &transcript() const { return this->Lines; }
+  Time now() const { return this->Now; }
+  int64_t wallMs() const;
+  uint64_t bytesSent() const { return this->Bytes; }
+  /// Targets that ran a submission, with the time.
+  struct RunRecord {
+    size_t Submission;
+    std::string Target;
+    Time At;
+  };
+  const std::vector<RunRecord> &runs() const { return this->Ran; }
+
+private:
+  struct Host {
+    std::string Name;
+    std::string Region;
+    std::unique_ptr<Node> Decisions;
+    uint64_t Runs = 0; ///< Times started.
+    bool Paused = false;
+    std::vector<std::function<void()>> Held; ///< Events while paused.
+    std::map<uint32_t, size_t> Submissions;  ///< By request handle.
+  };
+  struct Submitted {
+    uint32_t Host = 0;
+    RequestHandle Handle;
+    FakeRequest Request;
+    std::string Target;
+    bool Answered = false;
+    Verdict End;
+    std::string Answer;
+    uint32_t Runs = 0;
+  };
+
+  void at(Time When, std::function<void()> Event);
+  /// Runs \p Event on a host now, or once it wakes; a new process ignores it.
+  void onHost(uint32_t Index, uint64_t Run, std::function<void()> Event);
+  void enter(uint32_t Index);
+  void flush(uint32_t Index);
+  void execute(uint32_t Index, const Command &C);
+  void dispatch(uint32_t Index, const DispatchCommand &C);
+  void runEnds(uint32_t Index, uint64_t Run, RequestHandle H, size_t Submission,
+               RunResult Result);
+  void callStore(uint32_t Index, const StoreRequest &R);
+  void deliver(uint32_t From, uint32_t To, const PeerBatch &Batch);
+  void tick(uint32_t Index, uint64_t Run);
+  void note(const std::string &Line);
+  bool chance(double Share);
+
+  FleetInit Init;
+  Time Now;
+  std::mt19937_64 Random;
+  std::multimap<Time, std::function<void()>> Queue;
+  std::vector<Host> Hosts;
+  std::map<HostId, uint32_t> ByHost;
+  std::set<std::pair<uint32_t, uint32_t>> Cuts;
+  StoreMemory Platform;
+  std::vector<Submitted> Submissions;
+  std::map<std::string, std::map<size_t, std::function<void(RunResult)>>>
+      Running; ///< By target, then submission.
+  std::vector<RunRecord> Ran;
+  Oracle Truth;
+  std::vector<std::string> Lines;
+  uint64_t Bytes = 0;
+};
+
+/// Readable lines of one batch, for golden files.
+std::vector<std::string> describe(const PeerBatch &Batch);
+
+} // namespace shallotlatch
--- /dev/null
+++ b/tests/fuzz_main.cpp
@@ -0,0 +1,21 @@
+// Runs the stateful fuzz tests. Usage: shallot-fuzz [runs [seed]]
+#include "fuzz.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+int main(int Argc, char **Argv) {
+  std::string Runs = Argc > 1 ? Argv[1] : "60";
+  std::string Seed = Argc > 2 ? Argv[2] : "20261204";
+  std::string Parameters = "max_success=" + Runs + " seed=" + Seed +
+                           " max_size=60 verbose_progress=0";
+  setenv("RC_PARAMS", Parameters.c_str(), 1);
+  int Failed = 0;
+  int Passed = 0;
+  for (bool Good : {shallotlatch::fuzzPool(), shallotlatch::fuzzFleet()}) {
+    (Good ? Passed : Failed) += 1;
+  }
+  std::cout << Passed << " passed, " << Failed << " failed\n";
+  return Failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test_config.cpp
@@ -0,0 +1,103 @@
+// Configuration, host settings, and the operators' library.
+#include "fleet_fake.h"
+#include "shallotlatch/builder.h"
+#include "shallotlatch/model.h"
+#include "shallotlatch/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+using nlohmann::json;
+
+static std::vector<std::string> mistakesOf(const std::string &Text) {
+  try {
+    parseConfig(Text);
+  } catch (const ConfigError &E) {
+    return E.Mistakes;
+  }
+  return {};
+}
+
+static bool has(const std::vector<std::string> &Mistakes,
+                const std::string &Wanted) {
+  for (const std::string &M : Mistakes) {
+    if (M == Wanted) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST_GROUP(Configuration){};
+
+TEST(Configuration, printsWhatItParses) {
+  std::string Text = testConfig();
+  STRCMP_EQUAL(Text.c_str(), printConfig(*parseConfig(Text)).c_str());
+}
+
+TEST(Configuration, namesEveryMistakeWithItsPath) {
+  json Root = json::parse(testConfig());
+  Root["kinds"][0]["tier"] = "nobody";
+  Root["kinds"][1]["group"] = "nowhere";
+  Root["targets"][0]["address"] = "localhost:80";
+  Root["targets"][1]["slots"] = 0;
+  Root["customers"][1]["name"] = "large";
+  Root["policy"]["longShare"] = 2;
+  Root["surprise"] = 1;
+  std::vector<std::string> Found = mistakesOf(Root.dump());
+  CHECK(has(Found, "/kinds/0/tier: tier \"nobody\" does not exist"));
+  CHECK(has(Found, "/kinds/1/group: no target is in group \"nowhere\""));
+  CHECK(has(Found, "/targets/0/address: expected IP:port, found "
+                   "\"localhost:80\""));
+  CHECK(has(Found, "/targets/1/slots: expected a whole number from 1 to 4096"));
+  CHECK(has(Found, "/customers/1/name: \"large\" repeats or collides with "
+                   "\"large\""));
+  CHECK(has(Found, "/policy/longShare: expected a number from 0.01 to 1.0"));
+  CHECK(has(Found, "/surprise: no such field"));
+  LONGS_EQUAL(7, Found.size());
+}
+
+TEST(Configuration, refusesWhatIsNotJson) {
+  CHECK(has(mistakesOf("{"), "/: not valid JSON"));
+  CHECK(!mistakesOf("[]").empty());
+}
+
+TEST(Configuration, findsCustomersByBearerKeyOnly) {
+  std::shared_ptr<const Config> C = parseConfig(testConfig());
+  STRCMP_EQUAL("small", C->customerByBearer("key-of-small")->Name.c_str());
+  POINTERS_EQUAL(nullptr, C->customerByBearer("key-of-nobody"));
+  CHECK(testConfig().find("key-of-small") == std::string::npos);
+}
+
+TEST(Configuration, builderRefusesWhatADaemonWouldRefuse) {
+  ConfigBuilder B;
+  B.tier({"only", 0.9});
+  KindSpec K;
+  K.Name = "work";
+  K.Group = "missing";
+  K.Tier = "only";
+  B.kind(K);
+  CHECK_THROWS(ConfigError, B.print());
+}
+
+TEST_GROUP(HostSettings){};
+
+TEST(HostSettings, namesEveryMistakeWithItsPath) {
+  try {
+    parseSettings(R"({"host": "h", "region": "r", "domain": "d",
+      "caller": "127.0.0.1", "admin": "127.0.0.1:70000",
+      "peer": "127.0.0.1:1", "store": "127.0.0.1:2", "peerKey": "short",
+      "adminKey": "0123456789abcdef", "seeds": ["x"], "typo": 1})");
+    FAIL("accepted");
+  } catch (const ConfigError &E) {
+    CHECK(has(E.Mistakes, "/caller: expected IP:port, found \"127.0.0.1\""));
+    CHECK(
+        has(E.Mistakes, "/admin: expected IP:port, found \"127.0.0.1:70000\""));
+    CHECK(has(E.Mistakes, "/peerKey: expected at least 16 characters"));
+    CHECK(has(E.Mistakes, "/seeds: expected IP:port, found \"x\""));
+    CHECK(has(E.Mistakes, "/typo: no such field"));
+    LONGS_EQUAL(5, E.Mistakes.size());
+  }
+}
--- /dev/null
+++ b/tests/test_peer_codec.cpp
@@ -0,0 +1,112 @@
+// Messages between hosts on the wire.
+#include "fleet_fake.h"
+#include "peer_codec_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+TEST_GROUP(PeerCodec){static PeerBatch roundTrip(const PeerBatch &In){
+    std::string Frame = encodeFrame(In);
+return std::get<PeerBatch>(
+    decodeFrame(std::string_view(Frame).substr(FrameHeaderBytes)));
+}
+}
+;
+
+TEST(PeerCodec, keepsAnAskWhole) {
+  PeerBatch In;
+  Ask A;
+  A.Id = AskId{7};
+  A.Pool = poolId("north", "engines");
+  A.Customer = customerId("small");
+  A.Tier = 2;
+  A.PromptTokens = 4000;
+  A.OutputTokens = 60;
+  A.Slack = millis(1234);
+  A.Prefix = hashPrefixes(std::string(9000, 'x'));
+  In.Asks.push_back(A);
+  Ask B = roundTrip(In).Asks.at(0);
+  CHECK(A.Id == B.Id && A.Pool == B.Pool && A.Customer == B.Customer);
+  LONGS_EQUAL(A.Tier, B.Tier);
+  LONGS_EQUAL(1234, toMillis(B.Slack));
+  LONGS_EQUAL(A.Prefix.Count, B.Prefix.Count);
+  CHECK(A.Prefix.Hashes == B.Prefix.Hashes);
+}
+
+TEST(PeerCodec, keepsClaimsAndOutcomes) {
+  PeerBatch In;
+  Claim C;
+  C.Key = makeKeyName("key", customerId("small"), kindId("post"));
+  C.Key.Date = WallMillis{1700000000000};
+  C.BodyHash = 99;
+  C.Owner = Claimant{HostId{5}, Incarnation{6}, AskId{7}};
+  In.Claims.push_back(C);
+  JoinReply J;
+  J.Submission = AskId{8};
+  J.Known = true;
+  J.End = Verdict{Outcome::Failed, Reason::TargetError, millis(10)};
+  J.Answer = std::string("a\0b", 3);
+  In.JoinReplies.push_back(J);
+  PeerBatch Out = roundTrip(In);
+  CHECK(Out.Claims.at(0).Key == C.Key);
+  LONGLONGS_EQUAL(C.Key.Date.Value, Out.Claims.at(0).Key.Date.Value);
+  CHECK(Out.Claims.at(0).Owner == C.Owner);
+  CHECK(Out.JoinReplies.at(0).End.Result == Outcome::Failed);
+  CHECK(Out.JoinReplies.at(0).Answer == J.Answer);
+}
+
+TEST(PeerCodec, refusesBrokenBytes) {
+  CHECK_THROWS(CodecError, decodeFrame("nonsense"));
+  CHECK_THROWS(CodecError, decodeFrame(""));
+  PeerBatch In;
+  In.Grants.push_back(Grant{AskId{1}, TargetId{2}});
+  std::string Frame = encodeFrame(In);
+  for (size_t Cut = FrameHeaderBytes; Cut + 1 < Frame.size(); ++Cut) {
+    CHECK_THROWS(CodecError, decodeFrame(std::string_view(Frame).substr(
+                                 FrameHeaderBytes, Cut - FrameHeaderBytes)));
+  }
+}
+
+TEST(PeerCodec, refusesValuesOutOfRange) {
+  PeerBatch In;
+  Ask A;
+  A.Tier = 200;
+  In.Asks.push_back(A);
+  CHECK_THROWS(CodecError, roundTrip(In));
+}
+
+TEST(PeerCodec, refusesAHugeFrame) {
+  unsigned char Header[FrameHeaderBytes] = {255, 255, 255, 255};
+  CHECK_THROWS(CodecError, frameLength(Header));
+}
+
+// The budget is 64 bytes each way for one request's ask, grant and release.
+TEST(PeerCodec, controlOfOneRequestFitsItsBudget) {
+  PeerBatch There;
+  Ask A;
+  A.Id = AskId{123456};
+  A.Pool = poolId("north", "engines");
+  A.Customer = customerId("small");
+  A.PromptTokens = 4000;
+  A.OutputTokens = 300;
+  A.Slack = seconds(20);
+  A.Prefix = hashPrefixes(std::string(16000, 'x'));
+  There.Asks.push_back(A);
+  Release R;
+  R.Id = AskId{123400};
+  R.Pool = A.Pool;
+  R.FirstToken = millis(300);
+  R.Total = seconds(8);
+  R.OutputTokens = 300;
+  PeerBatch Back;
+  Back.Grants.push_back(Grant{AskId{123456}, targetId("north-0")});
+  // One request's messages in a batch with as many again as the target's
+  // rate brings together, and the fixed cost of a batch shared among them.
+  size_t AskBytes = encodeFrame(There).size();
+  PeerBatch Released;
+  Released.Releases.push_back(R);
+  CHECK(AskBytes <= 64);
+  CHECK(encodeFrame(Released).size() <= 64);
+  CHECK(encodeFrame(Back).size() <= 64);
+}
--- /dev/null
+++ b/tests/test_pool.cpp
@@ -0,0 +1,245 @@
+// The pool's decisions, each on its own.
+#include "pool_p.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+TEST_GROUP(PoolDecisions) {
+  PolicySpec Policy;
+  std::vector<TargetSpec> Specs;
+  std::unique_ptr<Pool> P;
+  PoolReplies Out;
+  Time Now{seconds(100)};
+  uint32_t NextId = 1;
+
+  void open(uint32_t Targets, uint32_t Slots) {
+    Specs.clear();
+    for (uint32_t I = 0; I < Targets; ++I) {
+      TargetSpec T;
+      T.Name = "target-" + std::to_string(I);
+      T.Slots = Slots;
+      Specs.push_back(T);
+    }
+    std::vector<const TargetSpec *> Pointers;
+    for (const TargetSpec &T : Specs) {
+      Pointers.push_back(&T);
+    }
+    P = std::make_unique<Pool>("north", "engines", Policy);
+    P->configure(Pointers, Policy);
+  }
+
+  AskId ask(TierRank Tier, uint32_t Prompt = 100, uint32_t Customer = 1,
+            Duration Slack = seconds(60), const std::string &Text = "") {
+    Ask A;
+    A.Id = AskId{NextId++};
+    A.Tier = Tier;
+    A.Customer = CustomerId{Customer};
+    A.PromptTokens = Prompt;
+    A.OutputTokens = 10;
+    A.Slack = Slack;
+    A.Prefix = hashPrefixes(Text);
+    P->enqueue(Now, HostId{1}, A, 1, Out);
+    return A.Id;
+  }
+
+  void release(AskId Id, RunResult Result = RunResult::Done) {
+    Release R;
+    R.Id = Id;
+    R.Result = Result;
+    P->release(Now, HostId{1}, R, Out);
+  }
+
+  bool granted(AskId Id) const {
+    for (const auto &G : Out.Grants) {
+      if (G.second.Id == Id) {
+        return true;
+      }
+    }
+    return false;
+  }
+  TargetId targetOfGrant(AskId Id) const {
+    for (const auto &G : Out.Grants) {
+      if (G.second.Id == Id) {
+        return G.second.Target;
+      }
+    }
+    return TargetId();
+  }
+  const Refusal *refusalOf(AskId Id) const {
+    for (const auto &R : Out.Refusals) {
+      if (R.second.Id == Id) {
+        return &R.second;
+      }
+    }
+    return nullptr;
+  }
+};
+
+TEST(PoolDecisions, higherTierOvertakesWhatWaits) {
+  open(1, 1);
+  AskId First = ask(2);
+  AskId Low = ask(2);
+  AskId High = ask(0);
+  release(First);
+  CHECK(granted(High));
+  CHECK(!granted(Low));
+}
+
+TEST(PoolDecisions, leastSlackGoesFirstWithinATier) {
+  open(1, 1);
+  AskId First = ask(1);
+  AskId Relaxed = ask(1, 100, 2, seconds(60));
+  AskId Urgent = ask(1, 100, 3, seconds(5));
+  release(First);
+  CHECK(granted(Urgent));
+  CHECK(!granted(Relaxed));
+}
+
+TEST(PoolDecisions, aLargeCustomerDoesNotStarveASmallOne) {
+  open(1, 1);
+  AskId Running = ask(1, 4000, 1);
+  for (int I = 0; I < 20; ++I) {
+    ask(1, 4000, 1);
+  }
+  AskId Small = ask(1, 50, 2);
+  release(Running);
+  AskId Next = Out.Grants.back().second.Id;
+  release(Next);
+  release(Out.Grants.back().second.Id);
+  CHECK(granted(Small));
+}
+
+TEST(PoolDecisions, shedsTheNewestOfTheLowestTier) {
+  Policy.PoolCapacity = 2;
+  open(1, 1);
+  ask(0);
+  AskId OldLow = ask(2);
+  AskId NewLow = ask(2);
+  AskId High = ask(0);
+  POINTERS_EQUAL(nullptr, refusalOf(OldLow));
+  CHECK(refusalOf(NewLow)->Why == Reason::Overload);
+  CHECK(refusalOf(NewLow)->RetryAfter.count() > 0);
+  POINTERS_EQUAL(nullptr, refusalOf(High));
+}
+
+TEST(PoolDecisions, equalTierKeepsWhatItHas) {
+  Policy.PoolCapacity = 1;
+  open(1, 1);
+  ask(1);
+  AskId Old = ask(1);
+  AskId New = ask(1);
+  POINTERS_EQUAL(nullptr, refusalOf(Old));
+  CHECK(refusalOf(New)->Why == Reason::Overload);
+}
+
+TEST(PoolDecisions, refusesWhatCannotMeetItsDeadline) {
+  open(1, 4);
+  AskId Late = ask(0, 80000, 1, seconds(1));
+  CHECK(refusalOf(Late)->Why == Reason::Deadline);
+}
+
+TEST(PoolDecisions, refusesOnceTheDeadlineIsOutOfReach) {
+  open(1, 1);
+  ask(0);
+  AskId Waiting = ask(0, 100, 1, seconds(2));
+  Now += seconds(3);
+  P->tick(Now, Out);
+  CHECK(refusalOf(Waiting)->Why == Reason::Deadline);
+}
+
+TEST(PoolDecisions, prefersTheTargetThatHasThePrefix) {
+  open(4, 4);
+  std::string Text(64 * 1024, 'x');
+  AskId First = ask(0, 16000, 1, seconds(60), Text);
+  TargetId Home = targetOfGrant(First);
+  release(First);
+  Now += seconds(5);
+  P->tick(Now, Out);
+  AskId Again = ask(0, 16000, 1, seconds(60), Text);
+  CHECK(targetOfGrant(Again) == Home);
+}
+
+TEST(PoolDecisions, longPromptsLeaveTargetsForQuickOnes) {
+  Policy.LongPromptTokens = 8000;
+  open(4, 4);
+  std::set<uint32_t> Used;
+  for (int I = 0; I < 30; ++I) {
+    AskId Long = ask(0, 20000);
+    if (granted(Long)) {
+      Used.insert(targetOfGrant(Long).Value);
+    }
+  }
+  LONGS_EQUAL(2, Used.size());
+  AskId Quick = ask(2, 50);
+  CHECK(granted(Quick));
+  CHECK(Used.count(targetOfGrant(Quick).Value) == 0);
+}
+
+TEST(PoolDecisions, aLeavingTargetGetsNothingNew) {
+  open(2, 4);
+  P->setLeaving(targetId("target-0"), true);
+  for (int I = 0; I < 4; ++I) {
+    CHECK(targetOfGrant(ask(0)) == targetId("target-1"));
+  }
+  CHECK(!granted(ask(0)));
+}
+
+TEST(PoolDecisions, aSlowTargetLosesItsWorkAndGetsItBack) {
+  open(3, 8);
+  Progress Slow;
+  Slow.Target = targetId("target-0");
+  Slow.Tokens = 10;
+  Slow.StreamTime = seconds(2); // 200 ms a token; 20 ms is configured.
+  Time Start = Now;
+  bool Ejected = false;
+  while (!Ejected && Now - Start < seconds(5)) {
+    P->observe(Now, Slow);
+    Now += millis(1000);
+    P->tick(Now, Out);
+    Ejected = P->targets()[0].Ejected;
+  }
+  CHECK(Ejected);
+  CHECK(targetOfGrant(ask(0)) != targetId("target-0"));
+  Now += seconds(4);
+  P->tick(Now, Out);
+  CHECK(!P->targets()[0].Ejected);
+}
+
+TEST(PoolDecisions, aDeadTargetIsTriedAgainWithBackoff) {
+  open(1, 4);
+  AskId First = ask(0);
+  release(First, RunResult::Unsent);
+  AskId Second = ask(0);
+  CHECK(!granted(Second));
+  Now += millis(1100);
+  P->tick(Now, Out);
+  CHECK(granted(Second));
+}
+
+TEST(PoolDecisions, aNewOwnerCountsWhatIsInFlight) {
+  open(1, 2);
+  HoldList L;
+  L.Complete = true;
+  L.Held = {{AskId{900}, targetId("target-0")},
+            {AskId{901}, targetId("target-0")}};
+  P->hold(Now, HostId{2}, L, Out);
+  AskId Waiting = ask(0);
+  CHECK(!granted(Waiting));
+  // The list's host finished one, and the release was lost.
+  Now += seconds(4);
+  L.Held.pop_back();
+  P->hold(Now, HostId{2}, L, Out);
+  CHECK(granted(Waiting));
+}
+
+TEST(PoolDecisions, aRepeatedAskIsGrantedOnce) {
+  open(1, 2);
+  AskId First = ask(0);
+  NextId = First.Value;
+  ask(0);
+  LONGS_EQUAL(1, P->stats().InFlight);
+  LONGS_EQUAL(2, Out.Grants.size());
+}
