--- a/include/shallotlatch/types.h
+++ b/include/shallotlatch/types.h
@@ -20,6 +20,8 @@
   using rep = Duration::rep;
   using period = Duration::period;
   using time_point = std::chrono::time_point<ProcessClock, Duration>;
+  // The standard names this member.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
   static time_point now();
 };
--- a/tools/load_judge.cpp
+++ b/tools/load_judge.cpp
@@ -78,10 +78,8 @@
     MayRun += V == "not-run" ? 0 : 1;
     Completed = Completed || V == "completed";
   }
-  if (Ran > 1 && !R.Key.empty()) {
-    ++Out.Doubled;
-    note(Out, R, "doubled", Ran);
-  } else if (Ran > R.Verdicts.size()) {
+  bool KeyRanTwice = Ran > 1 && !R.Key.empty();
+  if (KeyRanTwice || Ran > R.Verdicts.size()) {
     ++Out.Doubled;
     note(Out, R, "doubled", Ran);
   } else if (Ran > MayRun) {
