--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -39,6 +39,8 @@
   result @5 :UInt8;
 }
 
+struct Started { id @0 :UInt32; pool @1 :UInt32; }
+
 struct Progress {
   pool @0 :UInt32;
   target @1 :UInt32;
@@ -141,6 +143,7 @@
   documentBodies @19 :List(DocumentBody);
   limitAsks @20 :List(LimitAsk);
   limitGrants @21 :List(LimitGrant);
+  starts @22 :List(Started);
 }
 
 struct Frame {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(b751e7edd7d27a87);
 CAPNP_DECLARE_SCHEMA(de21f3dedba61432);
 CAPNP_DECLARE_SCHEMA(c91823c99fc7ae72);
+CAPNP_DECLARE_SCHEMA(c7b6bd218c4a5e88);
 CAPNP_DECLARE_SCHEMA(b5ec0e255d9b1cc8);
 CAPNP_DECLARE_SCHEMA(bfb1957d6665a29f);
 CAPNP_DECLARE_SCHEMA(e1ea4d847a22ee80);
@@ -139,6 +140,21 @@
   };
 };
 
+struct Started {
+  Started() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7b6bd218c4a5e88, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Progress {
   Progress() = delete;
 
@@ -417,7 +433,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(840829f2c49803ee, 0, 22)
+    CAPNP_DECLARE_STRUCT_HEADER(840829f2c49803ee, 0, 23)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1037,6 +1053,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Started::Reader {
+public:
+  typedef Started Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline  ::uint32_t getPool() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Started::Builder {
+public:
+  typedef Started Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Started::Pipeline {
+public:
+  typedef Started Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Progress::Reader {
 public:
   typedef Progress Reads;
@@ -2801,6 +2898,9 @@
   inline bool hasLimitGrants() const;
   inline  ::capnp::List< ::shallotlatch::wire::LimitGrant,  ::capnp::Kind::STRUCT>::Reader getLimitGrants() const;
 
+  inline bool hasStarts() const;
+  inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2984,6 +3084,13 @@
   inline void adoptLimitGrants(::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::LimitGrant,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::LimitGrant,  ::capnp::Kind::STRUCT>> disownLimitGrants();
 
+  inline bool hasStarts();
+  inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>> disownStarts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3605,6 +3712,34 @@
       ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Started::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Started::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Started::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Started::Reader::getPool() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Started::Builder::getPool() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Started::Builder::setPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Progress::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5561,6 +5696,40 @@
       ::capnp::bounded<21>() * ::capnp::POINTERS));
 }
 
+inline bool PeerBatch::Reader::hasStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBatch::Builder::hasStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Reader PeerBatch::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Builder PeerBatch::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+inline void PeerBatch::Builder::setStarts( ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>::Builder PeerBatch::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), size);
+}
+inline void PeerBatch::Builder::adoptStarts(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>> PeerBatch::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::wire::Started,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+
 inline  ::shallotlatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -235,7 +235,7 @@
 }
 
 void Daemon::Parts::token(RequestHandle H, const std::string &Text) {
-  this->Decisions.setTime(ProcessClock::now(), wallNow());
+  this->enter();
   this->Decisions.tokens(H, 1);
   this->Callers.token(H, Text);
 }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -224,6 +224,7 @@
   }
   if (R.Tokens == 0) {
     R.FirstTokenAt = this->Env.Now;
+    this->Env.to(R.Owner).Starts.push_back(Started{R.Current, R.Pool});
   }
   R.LastTokenAt = this->Env.Now;
   R.Tokens += Count;
--- a/src/messages_p.h
+++ b/src/messages_p.h
@@ -82,6 +82,12 @@
   uint32_t OutputTokens = 0;
 };
 
+/// Entry host to pool owner: the first token came, the prompt is done.
+struct Started {
+  AskId Id;
+  PoolId Pool;
+};
+
 /// Entry host to pool owner, once a second: what its streams saw.
 struct Progress {
   PoolId Pool;
@@ -261,6 +267,7 @@
   std::vector<Refusal> Refusals;
   std::vector<Withdraw> Withdrawals;
   std::vector<Release> Releases;
+  std::vector<Started> Starts;
   std::vector<Progress> Progresses;
   std::vector<HoldList> HoldLists;
   std::vector<AskAgain> AskAgains;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -45,6 +45,7 @@
 
 void Node::tokens(RequestHandle H, uint32_t Count) {
   this->Requests.tokens(H, Count);
+  this->pump();
 }
 
 void Node::ended(RequestHandle H, const RunEnd &E) {
@@ -175,6 +176,9 @@
   for (const Withdraw &W : Batch.Withdrawals) {
     this->Pools.onWithdraw(From, W);
   }
+  for (const Started &S : Batch.Starts) {
+    this->Pools.onStarted(From, S);
+  }
   for (const Progress &P : Batch.Progresses) {
     this->Pools.onProgress(P);
   }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -112,6 +112,14 @@
   return L;
 }
 
+void put(wire::Started::Builder B, const Started &S) {
+  B.setId(S.Id.Value);
+  B.setPool(S.Pool.Value);
+}
+Started get(wire::Started::Reader R) {
+  return Started{AskId{R.getId()}, PoolId{R.getPool()}};
+}
+
 void put(wire::Progress::Builder B, const Progress &P) {
   B.setPool(P.Pool.Value);
   B.setTarget(P.Target.Value);
@@ -401,6 +409,7 @@
   putList(In.Refusals, [&](uint32_t N) { return B.initRefusals(N); });
   putList(In.Withdrawals, [&](uint32_t N) { return B.initWithdrawals(N); });
   putList(In.Releases, [&](uint32_t N) { return B.initReleases(N); });
+  putList(In.Starts, [&](uint32_t N) { return B.initStarts(N); });
   putList(In.Progresses, [&](uint32_t N) { return B.initProgresses(N); });
   putList(In.HoldLists, [&](uint32_t N) { return B.initHoldLists(N); });
   if (!In.AskAgains.empty()) {
@@ -446,6 +455,7 @@
   getList(R.getRefusals(), Out.Refusals);
   getList(R.getWithdrawals(), Out.Withdrawals);
   getList(R.getReleases(), Out.Releases);
+  getList(R.getStarts(), Out.Starts);
   getList(R.getProgresses(), Out.Progresses);
   getList(R.getHoldLists(), Out.HoldLists);
   for (uint32_t Pool : R.getAskAgains()) {
--- a/src/pool.cpp
+++ b/src/pool.cpp
@@ -78,7 +78,7 @@
   if (Known != this->Grants.end()) {
     // The grant was lost on the way, or the ask was repeated meanwhile.
     Known->second.At = Now;
-    TargetId Target = this->Targets.id(Known->second.Target);
+    TargetId Target = this->Targets.id(Known->second.Place.Target);
     Out.Grants.emplace_back(Host, Grant{A.Id, Target});
     return;
   }
@@ -117,7 +117,7 @@
   }
   this->Targets.start(P, W.Request.Prefix, Now);
   Granted &G = this->Grants[{W.Host.Value, W.Request.Id.Value}];
-  G = Granted{P.Target, P.PrefillUs, Now, Now};
+  G = Granted{P, false, Now, Now};
   Out.Grants.emplace_back(W.Host,
                           Grant{W.Request.Id, this->Targets.id(P.Target)});
   ++this->GrantedCount;
@@ -171,7 +171,7 @@
   }
   auto It = this->Grants.find({Host.Value, Id.Value});
   if (It != this->Grants.end()) {
-    this->Targets.drop(It->second.Target);
+    this->Targets.drop(It->second.Place, It->second.Prefilled);
     this->Grants.erase(It);
     this->dispatch(Now, Out);
   }
@@ -183,23 +183,33 @@
     return;
   }
   ++this->ReleasesInWindow;
-  this->Targets.finish(It->second.Target, R, It->second.PrefillUs, Now);
+  this->Targets.finish(It->second.Place, It->second.Prefilled, R, Now);
   this->Grants.erase(It);
   this->dispatch(Now, Out);
 }
 
-void Pool::observe(Time Now, const Progress &P) {
-  this->Targets.observe(P, Now);
+void Pool::started(Time Now, HostId Host, AskId Id, PoolReplies &Out) {
+  auto It = this->Grants.find({Host.Value, Id.Value});
+  if (It == this->Grants.end() || It->second.Prefilled) {
+    return;
+  }
+  It->second.Prefilled = true;
+  this->Targets.started(It->second.Place);
+  this->dispatch(Now, Out);
 }
 
+void Pool::observe(Time, const Progress &P) { this->Targets.observe(P); }
+
 void Pool::hold(Time Now, HostId Host, const HoldList &List, PoolReplies &Out) {
   if (!List.Complete) {
     return;
   }
   for (const HeldGrant &Held : List.Held) {
     TargetHandle Target = this->Targets.find(Held.Target);
+    Placement Adopted;
+    Adopted.Target = Target;
     auto Added = this->Grants.emplace(GrantKey{Host.Value, Held.Id.Value},
-                                      Granted{Target, 0, Now, Now});
+                                      Granted{Adopted, true, Now, Now});
     if (!Target.isValid() && Added.second) {
       this->Grants.erase(Added.first);
       continue;
@@ -217,7 +227,7 @@
     bool Lost = It->first.first == Host.Value && It->second.LastHeard != Now &&
                 Now - It->second.At > GrantGrace;
     if (Lost) {
-      this->Targets.drop(It->second.Target);
+      this->Targets.drop(It->second.Place, It->second.Prefilled);
     }
     It = Lost ? this->Grants.erase(It) : std::next(It);
   }
@@ -238,7 +248,7 @@
   for (auto It = this->Grants.begin(); It != this->Grants.end();) {
     bool Mine = It->first.first == Host.Value;
     if (Mine) {
-      this->Targets.drop(It->second.Target);
+      this->Targets.drop(It->second.Place, It->second.Prefilled);
     }
     It = Mine ? this->Grants.erase(It) : std::next(It);
   }
--- a/src/pool_host.cpp
+++ b/src/pool_host.cpp
@@ -91,6 +91,14 @@
   this->send(Replies);
 }
 
+void PoolHost::onStarted(HostId From, const Started &S) {
+  PoolReplies Replies;
+  if (Pool *P = this->find(S.Pool)) {
+    P->started(this->Env.Now, From, S.Id, Replies);
+  }
+  this->send(Replies);
+}
+
 void PoolHost::onProgress(const Progress &P) {
   if (Pool *Owner = this->find(P.Pool)) {
     Owner->observe(this->Env.Now, P);
--- a/src/pool_host_p.h
+++ b/src/pool_host_p.h
@@ -28,6 +28,7 @@
   void onAsk(HostId From, const Ask &A);
   void onWithdraw(HostId From, const Withdraw &W);
   void onRelease(HostId From, const Release &R);
+  void onStarted(HostId From, const Started &S);
   void onProgress(const Progress &P);
   void onHoldList(HostId From, const HoldList &L);
   void onReport(TargetId Target, const TargetReport &R);
--- a/src/pool_p.h
+++ b/src/pool_p.h
@@ -39,6 +39,7 @@
   virtual void withdraw(Time Now, HostId Host, AskId Id, PoolReplies &Out) = 0;
   virtual void release(Time Now, HostId Host, const Release &R,
                        PoolReplies &Out) = 0;
+  virtual void started(Time Now, HostId Host, AskId Id, PoolReplies &Out) = 0;
   virtual void observe(Time Now, const Progress &P) = 0;
   virtual void tick(Time Now, PoolReplies &Out) = 0;
 };
@@ -54,6 +55,7 @@
   void withdraw(Time Now, HostId Host, AskId Id, PoolReplies &Out) override;
   void release(Time Now, HostId Host, const Release &R,
                PoolReplies &Out) override;
+  void started(Time Now, HostId Host, AskId Id, PoolReplies &Out) override;
   void observe(Time Now, const Progress &P) override;
   void tick(Time Now, PoolReplies &Out) override;
 
@@ -73,8 +75,8 @@
 
 private:
   struct Granted {
-    TargetHandle Target;
-    double PrefillUs = 0;
+    Placement Place;
+    bool Prefilled = false;
     Time At;
     Time LastHeard;
   };
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -9,13 +9,20 @@
 static constexpr uint32_t NominalOutputTokens = 128;
 // Weight of a new observation in the learned speeds.
 static constexpr double LearnRate = 0.3;
-// A target this many times slower than its good times is ejected.
+static constexpr double PrefillLearnRate = 0.05;
+// A target whose tokens come this many times slower than in good times is
+// ejected; while it works on prompts too, its steps are longer anyway.
 static constexpr double OutlierFactor = 5;
+static constexpr double OutlierFactorWithPrefill = 15;
 static constexpr uint32_t OutlierReports = 2;
 static constexpr Duration AdaptPeriod = millis(1000);
 static constexpr Duration SlowEjection = seconds(3);
 static constexpr Duration LostEjection = seconds(1);
 static constexpr Duration MaxEjection = seconds(16);
+// Prompt work that may wait inside an engine. More would only move the queue
+// to where nothing can overtake it; less would leave the engine idle between
+// two grants.
+static constexpr double MaxPrefillBacklogUs = 400000;
 // Requests in a batch that slow a step down by about its base time.
 static constexpr double BatchSoftness = 16;
 
@@ -79,7 +86,7 @@
     this->Rows[Order[I]].Lane = true;
   }
   for (uint32_t I = 0; I < this->Rows.size(); ++I) {
-    this->refresh(I, Time());
+    this->refresh(I);
   }
   this->refreshLeast();
 }
@@ -104,35 +111,36 @@
   return It == this->Index.end() ? TargetHandle() : TargetHandle{It->second};
 }
 
-double TargetTable::nominalKey(const Row &R, Time Now) const {
-  double Wait = static_cast<double>(
-      std::max<int64_t>(0, (R.PrefillBusyUntil - Now).count()));
+double TargetTable::nominalKey(const Row &R) const {
   if (R.Service) {
     return static_cast<double>(R.InFlight) / R.Slots;
   }
   double Slowdown =
       (R.InFlight + 1 + BatchSoftness) / (R.InFlight + BatchSoftness);
-  return Wait + NominalPromptTokens * R.PrefillUs +
+  return R.PendingPrefillUs + NominalPromptTokens * R.PrefillUs +
          NominalOutputTokens * R.DecodeUs * Slowdown;
 }
 
 // Predicted time to the whole answer, the uncached prefill at its price.
-double TargetTable::predict(const Row &R, const Ask &A, uint32_t Cached,
-                            Time Now) const {
-  double Wait = static_cast<double>(
-      std::max<int64_t>(0, (R.PrefillBusyUntil - Now).count()));
+double TargetTable::predict(const Row &R, const Ask &A, uint32_t Cached) const {
   uint32_t Uncached = A.PromptTokens - std::min(Cached, A.PromptTokens);
   double Slowdown =
       (R.InFlight + 1 + BatchSoftness) / (R.InFlight + BatchSoftness);
-  return Wait + Uncached * R.PrefillUs * this->Policy.PrefillPrice +
+  return R.PendingPrefillUs +
+         Uncached * R.PrefillUs * this->Policy.PrefillPrice +
          A.OutputTokens * R.DecodeUs * Slowdown;
 }
 
-void TargetTable::refresh(uint32_t I, Time Now) {
+bool TargetTable::hasRoom(const Row &R) const {
+  return this->usable(R) && R.InFlight < R.Limit &&
+         R.PendingPrefillUs <= MaxPrefillBacklogUs;
+}
+
+void TargetTable::refresh(uint32_t I) {
   const Row &R = this->Rows[I];
   IndexedHeap<double> &Mine = R.Lane ? this->LaneHeap : this->OtherHeap;
-  if (this->usable(R) && R.InFlight < R.Limit) {
-    Mine.set(I, this->nominalKey(R, Now));
+  if (this->hasRoom(R)) {
+    Mine.set(I, this->nominalKey(R));
   } else {
     Mine.remove(I);
   }
@@ -145,8 +153,8 @@
   uint32_t BestCached = 0;
   auto Consider = [&](uint32_t I, uint32_t Cached) {
     double Cost = this->Rows[I].Service
-                      ? this->nominalKey(this->Rows[I], Now)
-                      : this->predict(this->Rows[I], A, Cached, Now);
+                      ? this->nominalKey(this->Rows[I])
+                      : this->predict(this->Rows[I], A, Cached);
     if (!Best.Target.isValid() || Cost < BestCost) {
       Best.Target = TargetHandle{I};
       BestCost = Cost;
@@ -164,7 +172,7 @@
   for (uint32_t I = 0; I < Found; ++I) {
     const Row &R = this->Rows[Matches[I].Target];
     bool Allowed = R.Lane ? !SpareLane : !Long;
-    if (Allowed && this->usable(R) && R.InFlight < R.Limit) {
+    if (Allowed && this->hasRoom(R)) {
       Consider(Matches[I].Target, Matches[I].Tokens);
     }
   }
@@ -172,6 +180,7 @@
     Best.CachedTokens = std::min(BestCached, A.PromptTokens);
     Best.PrefillUs = (A.PromptTokens - Best.CachedTokens) *
                      this->Rows[Best.Target.Index].PrefillUs;
+    Best.Alone = this->Rows[Best.Target.Index].PendingPrefillUs <= 0;
   }
   return Best;
 }
@@ -225,22 +234,35 @@
   ++R.InFlight;
   R.PeakInFlight = std::max(R.PeakInFlight, R.InFlight);
   if (!R.Service) {
-    Time From = std::max(R.PrefillBusyUntil, Now);
-    R.PrefillBusyUntil = From + Duration(static_cast<int64_t>(P.PrefillUs));
+    R.PendingPrefillUs += P.PrefillUs;
+    R.HadPrefill = true;
     this->Prefixes.add(Prefix, P.Target.Index, Now);
   }
-  this->refresh(P.Target.Index, Now);
+  this->refresh(P.Target.Index);
 }
 
 void TargetTable::adopt(TargetHandle H) {
   ++this->Rows[H.Index].InFlight;
-  this->refresh(H.Index, Time());
+  this->refresh(H.Index);
 }
 
-void TargetTable::drop(TargetHandle H) {
-  Row &R = this->Rows[H.Index];
+void TargetTable::leave(const Placement &P, bool Prefilled) {
+  Row &R = this->Rows[P.Target.Index];
   R.InFlight -= R.InFlight > 0 ? 1 : 0;
-  this->refresh(H.Index, Time());
+  if (!Prefilled) {
+    R.PendingPrefillUs = std::max(0.0, R.PendingPrefillUs - P.PrefillUs);
+  }
+}
+
+void TargetTable::started(const Placement &P) {
+  Row &R = this->Rows[P.Target.Index];
+  R.PendingPrefillUs = std::max(0.0, R.PendingPrefillUs - P.PrefillUs);
+  this->refresh(P.Target.Index);
+}
+
+void TargetTable::drop(const Placement &P, bool Prefilled) {
+  this->leave(P, Prefilled);
+  this->refresh(P.Target.Index);
 }
 
 void TargetTable::eject(Row &R, Duration For, Time Now) {
@@ -249,35 +271,36 @@
   R.Probing = false;
 }
 
-void TargetTable::finish(TargetHandle H, const Release &Ended, double PrefillUs,
-                         Time Now) {
-  Row &R = this->Rows[H.Index];
-  R.InFlight -= R.InFlight > 0 ? 1 : 0;
+void TargetTable::finish(const Placement &P, bool Prefilled,
+                         const Release &Ended, Time Now) {
+  this->leave(P, Prefilled);
+  Row &R = this->Rows[P.Target.Index];
   if (Ended.Result == RunResult::Done) {
     R.Failures = 0;
     if (R.Probing) {
       R.Probing = false;
-      R.Limit = std::max<uint32_t>(1, R.Slots / 2);
+      R.Limit = R.Slots;
     }
   }
   if (Ended.Result == RunResult::Lost || Ended.Result == RunResult::Unsent) {
     Duration Back = LostEjection * (1 << std::min<uint32_t>(R.Failures, 4));
     ++R.Failures;
-    this->Prefixes.forget(H.Index);
+    this->Prefixes.forget(P.Target.Index);
     this->eject(R, std::min(Back, MaxEjection), Now);
   }
-  // Only a first token that waited for no other prefill teaches the speed.
-  bool Clean = Ended.FirstToken.count() > 0 && PrefillUs > 10000 &&
-               R.PrefillBusyUntil <= Now;
-  if (Clean) {
-    double Ratio = static_cast<double>(Ended.FirstToken.count()) / PrefillUs;
+  // Only a prompt that was alone teaches the speed, and only a longer one:
+  // short ones say more about the batch's steps.
+  bool Teaches =
+      P.Alone && P.PrefillUs > 200000 && Ended.FirstToken.count() > 0;
+  if (Teaches) {
+    double Ratio = static_cast<double>(Ended.FirstToken.count()) / P.PrefillUs;
     Ratio = std::min(std::max(Ratio, 0.5), 2.0);
-    R.PrefillUs *= 1 + 0.1 * LearnRate * (Ratio - 1);
+    R.PrefillUs *= 1 + PrefillLearnRate * (Ratio - 1);
   }
-  this->refresh(H.Index, Now);
+  this->refresh(P.Target.Index);
 }
 
-void TargetTable::observe(const Progress &P, Time Now) {
+void TargetTable::observe(const Progress &P) {
   TargetHandle H = this->find(P.Target);
   if (!H.isValid()) {
     return;
@@ -286,7 +309,7 @@
   R.WindowTokens += P.Tokens;
   R.WindowUs += static_cast<double>(P.StreamTime.count());
   R.WindowStalled += P.Stalled;
-  this->refresh(H.Index, Now);
+  this->refresh(H.Index);
 }
 
 uint32_t TargetTable::ejectedCount() const {
@@ -297,20 +320,33 @@
   return Count;
 }
 
-// Adds one eighth while the batch is full and tokens come in time; takes a
-// fifth when they come late; ejects a target far slower than in good times.
-void TargetTable::adapt(Row &R, Time Now) {
-  double Objective =
-      std::max(static_cast<double>(this->Policy.TokenInterval.count()),
-               2 * R.BestDecodeUs);
+double TargetTable::medianSlowness() const {
+  std::vector<double> Known;
+  for (const Row &R : this->Rows) {
+    if (R.Present && R.Limit > 0) {
+      Known.push_back(R.Slowness);
+    }
+  }
+  if (Known.empty()) {
+    return 1;
+  }
+  size_t Middle = (Known.size() - 1) / 2;
+  std::nth_element(Known.begin(), Known.begin() + Middle, Known.end());
+  return std::max(Known[Middle], 1.0);
+}
+
+// A target far slower against its own good times than its peers are is
+// ejected. Prompt work slows all of them alike, and ejects nobody.
+void TargetTable::adapt(Row &R, double MedianSlowness, Time Now) {
   bool Slow = false;
   if (R.WindowTokens + R.WindowStalled > 0) {
     double Observed = R.WindowUs / std::max(R.WindowTokens, 1.0);
+    R.Slowness = Observed / R.BestDecodeUs;
     R.DecodeUs += LearnRate * (Observed - R.DecodeUs);
-    Slow = Observed > OutlierFactor * R.BestDecodeUs && Observed > Objective;
-    if (!Slow) {
-      double Rate = Observed < R.BestDecodeUs ? LearnRate : 0.01;
-      R.BestDecodeUs += Rate * (Observed - R.BestDecodeUs);
+    double Factor = R.HadPrefill ? OutlierFactorWithPrefill : OutlierFactor;
+    Slow = R.Slowness > Factor * MedianSlowness;
+    if (Observed < R.BestDecodeUs) {
+      R.BestDecodeUs += LearnRate * (Observed - R.BestDecodeUs);
     }
   }
   R.SlowReports = Slow ? R.SlowReports + 1 : 0;
@@ -318,14 +354,10 @@
   if (R.SlowReports >= OutlierReports && Few) {
     this->eject(R, SlowEjection, Now);
     R.SlowReports = 0;
-  } else if (R.Limit > 0 && !R.Probing) {
-    if (R.DecodeUs > 1.25 * Objective) {
-      R.Limit = std::max<uint32_t>(1, R.Limit * 4 / 5);
-    } else if (R.DecodeUs < Objective && R.PeakInFlight >= R.Limit) {
-      R.Limit = std::min(R.Slots, R.Limit + 1 + R.Limit / 8);
-    }
+    R.Slowness = 1;
   }
   R.PeakInFlight = R.InFlight;
+  R.HadPrefill = R.PendingPrefillUs > 0;
   R.WindowTokens = 0;
   R.WindowUs = 0;
   R.WindowStalled = 0;
@@ -333,10 +365,11 @@
 }
 
 void TargetTable::tick(Time Now) {
+  double MedianSlowness = this->medianSlowness();
   for (uint32_t I = 0; I < this->Rows.size(); ++I) {
     Row &R = this->Rows[I];
     if (!R.Service && Now - R.WindowStart >= AdaptPeriod) {
-      this->adapt(R, Now);
+      this->adapt(R, MedianSlowness, Now);
     }
     if (R.Limit == 0 && Now >= R.EjectedUntil) {
       // One request shows whether the target is well again.
@@ -344,7 +377,7 @@
       R.Probing = true;
       R.DecodeUs = R.BestDecodeUs;
     }
-    this->refresh(I, Now);
+    this->refresh(I);
   }
   this->refreshLeast();
 }
--- a/src/target_table_p.h
+++ b/src/target_table_p.h
@@ -32,6 +32,7 @@
   TargetHandle Target;
   uint32_t CachedTokens = 0;
   double PrefillUs = 0; ///< Of the uncached part.
+  bool Alone = false;   ///< No other prompt was pending there.
 };
 
 /// All figures are learned from own dispatches; the configuration's figures
@@ -65,10 +66,13 @@
   void start(const Placement &P, const PrefixHashes &Prefix, Time Now);
   /// Counts a request in flight that an earlier owner granted.
   void adopt(TargetHandle H);
-  void finish(TargetHandle H, const Release &R, double PrefillUs, Time Now);
+  /// The prompt of a granted request is done.
+  void started(const Placement &P);
+  /// Ends a granted request; \p Prefilled: its prompt was done.
+  void finish(const Placement &P, bool Prefilled, const Release &R, Time Now);
   /// A granted place is given back without news of the target.
-  void drop(TargetHandle H);
-  void observe(const Progress &P, Time Now);
+  void drop(const Placement &P, bool Prefilled);
+  void observe(const Progress &P);
   void setLeaving(TargetId Id, bool Leaving);
   void evictPrefix(TargetId Id, uint32_t Hash);
   /// Adapts limits, ends ejections and refreshes the choice order.
@@ -87,15 +91,17 @@
     uint32_t Slots = 1;
     uint32_t Limit = 1;
     uint32_t InFlight = 0;
-    uint32_t PeakInFlight = 0; ///< Since the last adaptation.
-    double DecodeUs = 0;       ///< Per token, at the current batch.
-    double BestDecodeUs = 0;   ///< Per token, in good times.
-    double PrefillUs = 0;      ///< Per token.
-    Time PrefillBusyUntil;
+    uint32_t PeakInFlight = 0;   ///< Since the last adaptation.
+    double DecodeUs = 0;         ///< Per token, at the current batch.
+    double BestDecodeUs = 0;     ///< Per token, in good times.
+    double PrefillUs = 0;        ///< Per token.
+    double PendingPrefillUs = 0; ///< Of granted prompts with no token yet.
     Time EjectedUntil;
     bool Probing = false;
     uint32_t Failures = 0; ///< In a row.
     uint32_t SlowReports = 0;
+    double Slowness = 1;     ///< Observed over best interval.
+    bool HadPrefill = false; ///< Prompts were pending in this window.
     double WindowTokens = 0;
     double WindowUs = 0;
     uint32_t WindowStalled = 0;
@@ -105,11 +111,14 @@
   bool usable(const Row &R) const {
     return R.Present && !R.Leaving && R.Limit > 0;
   }
-  double predict(const Row &R, const Ask &A, uint32_t Cached, Time Now) const;
-  double nominalKey(const Row &R, Time Now) const;
-  void refresh(uint32_t Index, Time Now);
+  double predict(const Row &R, const Ask &A, uint32_t Cached) const;
+  double nominalKey(const Row &R) const;
+  void refresh(uint32_t Index);
   void eject(Row &R, Duration For, Time Now);
-  void adapt(Row &R, Time Now);
+  void adapt(Row &R, double MedianSlowness, Time Now);
+  double medianSlowness() const;
+  bool hasRoom(const Row &R) const;
+  void leave(const Placement &P, bool Prefilled);
   void chooseLane();
   void refreshLeast();
   uint32_t ejectedCount() const;
--- a/tests/fuzz_main.cpp
+++ b/tests/fuzz_main.cpp
@@ -1,4 +1,4 @@
-// Runs the stateful fuzz tests. Usage: shallot-fuzz [runs [seed]]
+// Runs the stateful fuzz tests. Usage: shallot-fuzz [runs [seed [noshrink]]]
 #include "fuzz.h"
 
 #include <cstdlib>
@@ -10,6 +10,9 @@
   std::string Seed = Argc > 2 ? Argv[2] : "20261204";
   std::string Parameters = "max_success=" + Runs + " seed=" + Seed +
                            " max_size=60 verbose_progress=0";
+  if (Argc > 3 && std::string(Argv[3]) == "noshrink") {
+    Parameters += " noshrink=1";
+  }
   setenv("RC_PARAMS", Parameters.c_str(), 1);
   int Failed = 0;
   int Passed = 0;
--- /dev/null
+++ b/tools/bench_policies.cpp
@@ -0,0 +1,82 @@
+#include "bench_policies.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+ImmediatePolicy::ImmediatePolicy(PickRule Rule,
+                                 const std::vector<ReportedLoad> &Reports,
+                                 uint64_t Seed)
+    : Rule(Rule), Reports(Reports), Random(Seed) {}
+
+TargetId ImmediatePolicy::pick() {
+  size_t Count = this->Reports.size();
+  if (this->Rule == PickRule::RoundRobin) {
+    return this->Reports[this->Turn++ % Count].Id;
+  }
+  if (this->Rule == PickRule::LeastReported) {
+    auto Least = std::min_element(
+        this->Reports.begin(), this->Reports.end(),
+        [](const ReportedLoad &A, const ReportedLoad &B) {
+          return A.Load < B.Load;
+        });
+    return Least->Id;
+  }
+  std::uniform_int_distribution<size_t> Draw(0, Count - 1);
+  const ReportedLoad &A = this->Reports[Draw(this->Random)];
+  const ReportedLoad &B = this->Reports[Draw(this->Random)];
+  return A.Load <= B.Load ? A.Id : B.Id;
+}
+
+void ImmediatePolicy::enqueue(Time, HostId Host, const Ask &A, double,
+                              PoolReplies &Out) {
+  Out.Grants.emplace_back(Host, Grant{A.Id, this->pick()});
+}
+
+EscrowPolicy::EscrowPolicy(uint32_t Hosts,
+                           const std::vector<TargetSpec> &Specs,
+                           const PolicySpec &Policy)
+    : Specs(Specs) {
+  PolicySpec Part = Policy;
+  Part.PoolCapacity = std::max<uint32_t>(1, Policy.PoolCapacity / Hosts);
+  for (uint32_t Host = 0; Host < Hosts; ++Host) {
+    std::vector<TargetSpec> Share = Specs;
+    std::vector<const TargetSpec *> Pointers;
+    for (size_t I = 0; I < Share.size(); ++I) {
+      // What does not divide evenly goes round the hosts.
+      uint32_t Extra = (Host + I) % Hosts < Share[I].Slots % Hosts ? 1 : 0;
+      Share[I].Slots = std::max<uint32_t>(1, Share[I].Slots / Hosts + Extra);
+      Pointers.push_back(&Share[I]);
+    }
+    this->Pools.push_back(std::make_unique<Pool>("bench", "engines", Part));
+    this->Pools.back()->configure(Pointers, Part);
+  }
+}
+
+void EscrowPolicy::enqueue(Time Now, HostId Host, const Ask &A, double Weight,
+                           PoolReplies &Out) {
+  this->of(Host).enqueue(Now, Host, A, Weight, Out);
+}
+void EscrowPolicy::withdraw(Time Now, HostId Host, AskId Id,
+                            PoolReplies &Out) {
+  this->of(Host).withdraw(Now, Host, Id, Out);
+}
+void EscrowPolicy::release(Time Now, HostId Host, const Release &R,
+                           PoolReplies &Out) {
+  this->of(Host).release(Now, Host, R, Out);
+}
+void EscrowPolicy::started(Time Now, HostId Host, AskId Id, PoolReplies &Out) {
+  this->of(Host).started(Now, Host, Id, Out);
+}
+void EscrowPolicy::observe(Time Now, const Progress &P) {
+  for (auto &Part : this->Pools) {
+    Part->observe(Now, P);
+  }
+}
+void EscrowPolicy::tick(Time Now, PoolReplies &Out) {
+  for (auto &Part : this->Pools) {
+    Part->tick(Now, Out);
+  }
+}
+
+} // namespace shallotlatch
