Replies name the run that they are for; fewer control bytes

A host died and came back; the claim of its earlier run was granted to the request with the same number in its next run. Claim and join replies now carry the asking run. Ruled out: the store's conditional update (version 0 at both homes, one won) and the ring's watermark (same slot).

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -54,7 +54,8 @@
   complete @1 :Bool;
   held @2 :List(UInt64);   # Ask id in the high half, target in the low half.
   waiting @3 :UInt32;
-  waitingDigest @4 :UInt64;
+  digest @4 :UInt64;
+  inFlight @5 :UInt32;
 }
 
 struct Key { high @0 :UInt64; low @1 :UInt64; dateMs @2 :Int64; }
@@ -67,10 +68,11 @@
   ended @2 :Bool;
   endedAs @3 :UInt8;
   holder @4 :Claimant;
+  run @5 :UInt64;
 }
 
 struct Settle { key @0 :Key; owner @1 :Claimant; result @2 :UInt8; }
-struct Join { submission @0 :UInt32; holder @1 :Claimant; }
+struct Join { submission @0 :UInt32; holder @1 :Claimant; run @2 :UInt64; }
 
 struct JoinReply {
   submission @0 :UInt32;
@@ -79,6 +81,7 @@
   why @3 :UInt8;
   retryMs @4 :UInt32;
   answer @5 :Data;
+  run @6 :UInt64;
 }
 
 struct Heartbeat {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -238,7 +238,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d13f8ccf33699046, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d13f8ccf33699046, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -268,7 +268,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d33c4acc120b8a7, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9d33c4acc120b8a7, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -283,7 +283,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8f549b78e78fbc5, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b8f549b78e78fbc5, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1256,7 +1256,9 @@
 
   inline  ::uint32_t getWaiting() const;
 
-  inline  ::uint64_t getWaitingDigest() const;
+  inline  ::uint64_t getDigest() const;
+
+  inline  ::uint32_t getInFlight() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1303,8 +1305,11 @@
   inline  ::uint32_t getWaiting();
   inline void setWaiting( ::uint32_t value);
 
-  inline  ::uint64_t getWaitingDigest();
-  inline void setWaitingDigest( ::uint64_t value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline  ::uint32_t getInFlight();
+  inline void setInFlight( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1630,6 +1635,8 @@
   inline bool hasHolder() const;
   inline  ::shallotlatch::wire::Claimant::Reader getHolder() const;
 
+  inline  ::uint64_t getRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1677,6 +1684,9 @@
   inline void adoptHolder(::capnp::Orphan< ::shallotlatch::wire::Claimant>&& value);
   inline ::capnp::Orphan< ::shallotlatch::wire::Claimant> disownHolder();
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1824,6 +1834,8 @@
   inline bool hasHolder() const;
   inline  ::shallotlatch::wire::Claimant::Reader getHolder() const;
 
+  inline  ::uint64_t getRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1862,6 +1874,9 @@
   inline void adoptHolder(::capnp::Orphan< ::shallotlatch::wire::Claimant>&& value);
   inline ::capnp::Orphan< ::shallotlatch::wire::Claimant> disownHolder();
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1919,6 +1934,8 @@
   inline bool hasAnswer() const;
   inline  ::capnp::Data::Reader getAnswer() const;
 
+  inline  ::uint64_t getRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1969,6 +1986,9 @@
   inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3890,20 +3910,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HoldList::Reader::getWaitingDigest() const {
+inline  ::uint64_t HoldList::Reader::getDigest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HoldList::Builder::getWaitingDigest() {
+inline  ::uint64_t HoldList::Builder::getDigest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HoldList::Builder::setWaitingDigest( ::uint64_t value) {
+inline void HoldList::Builder::setDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t HoldList::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HoldList::Builder::getInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HoldList::Builder::setInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Key::Reader::getHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4175,6 +4209,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ClaimReply::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimReply::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Settle::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4320,6 +4368,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Join::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Join::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Join::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t JoinReply::Reader::getSubmission() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4424,6 +4486,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t JoinReply::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JoinReply::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JoinReply::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Heartbeat::Reader::getRun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,7 +59,8 @@
   for r in 0 1 2; do
     "$bin/tools/shallot-standin" targets \
       --engine $((7200 + 4 * r)) $((7201 + 4 * r)) $((7202 + 4 * r)) \
-      $((7203 + 4 * r)) --service $((7300 + r)) 2>"$work/targets-$r.log" &
+      $((7203 + 4 * r)) --service $((7300 + r)) \
+      --work-ms "${work_ms:-5}" 2>"$work/targets-$r.log" &
     pids[targets-$r]=$!
   done
 }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -5,6 +5,8 @@
 namespace shallotlatch {
 
 static constexpr uint32_t MaxUnsents = 3;
+// How long the news of a first token may wait for a frame to share.
+static constexpr Duration StartedWait = millis(50);
 static constexpr uint32_t RegionPrefixEntries = 4096;
 
 const char *name(RequestState S) {
@@ -131,9 +133,10 @@
     this->settle(R, V.Result);
     this->Outcomes.add(R.First, V, Answer);
   }
-  for (const auto &Joiner : R.Joiners) {
-    this->Env.to(Joiner.first)
-        .JoinReplies.push_back(JoinReply{Joiner.second, true, V, Answer});
+  for (const Claimant &Joiner : R.Joiners) {
+    this->Env.to(Joiner.Host)
+        .JoinReplies.push_back(
+            JoinReply{Joiner.Submission, Joiner.Run, true, V, Answer});
   }
   ++this->Counts.Ended[static_cast<int>(V.Result)];
   this->ByDeadline.remove(H.Index);
@@ -224,7 +227,8 @@
   }
   if (R.Tokens == 0) {
     R.FirstTokenAt = this->Env.Now;
-    this->Env.to(R.Owner).Starts.push_back(Started{R.Current, R.Pool});
+    this->Env.delayed(R.Owner, StartedWait)
+        .Starts.push_back(Started{R.Current, R.Pool});
   }
   R.LastTokenAt = this->Env.Now;
   R.Tokens += Count;
--- a/src/entry_keys.cpp
+++ b/src/entry_keys.cpp
@@ -27,11 +27,14 @@
 
 void Entry::askJoin(Request &R) {
   R.ClaimedAt = this->Env.Now;
-  this->Env.to(R.Holder.Host).Joins.push_back(Join{R.First, R.Holder});
+  this->Env.to(R.Holder.Host)
+      .Joins.push_back(Join{R.First, this->Env.Run, R.Holder});
 }
 
 void Entry::onClaimReply(const ClaimReply &C) {
-  RequestHandle H = this->byAsk(C.Submission);
+  // A reply to an earlier run of this host would fit a number of this one.
+  RequestHandle H =
+      C.Run == this->Env.Run ? this->byAsk(C.Submission) : RequestHandle();
   if (!H.isValid() || this->row(H).State != RequestState::Claiming) {
     return;
   }
@@ -76,11 +79,12 @@
 void Entry::onJoin(HostId From, const Join &J) {
   JoinReply Reply;
   Reply.Submission = J.Submission;
+  Reply.Run = J.Run;
   bool Mine = J.Holder.Host == this->Env.Self && J.Holder.Run == this->Env.Run;
   RequestHandle H = Mine ? this->byAsk(J.Holder.Submission) : RequestHandle();
   if (H.isValid() && this->row(H).First == J.Holder.Submission) {
     auto &Joiners = this->row(H).Joiners;
-    std::pair<HostId, AskId> Joiner{From, J.Submission};
+    Claimant Joiner{From, J.Run, J.Submission};
     if (std::find(Joiners.begin(), Joiners.end(), Joiner) == Joiners.end()) {
       Joiners.push_back(Joiner);
     }
@@ -97,7 +101,8 @@
 }
 
 void Entry::onJoinReply(const JoinReply &J) {
-  RequestHandle H = this->byAsk(J.Submission);
+  RequestHandle H =
+      J.Run == this->Env.Run ? this->byAsk(J.Submission) : RequestHandle();
   if (!H.isValid() || this->row(H).State != RequestState::Joining) {
     return;
   }
--- a/src/entry_p.h
+++ b/src/entry_p.h
@@ -138,7 +138,7 @@
     Time LastTokenAt;
     uint32_t Tokens = 0;
     uint32_t WindowTokens = 0;
-    std::vector<std::pair<HostId, AskId>> Joiners;
+    std::vector<Claimant> Joiners;
   };
   /// One pool that a group can use.
   struct PoolRef {
@@ -148,8 +148,9 @@
   struct OwnerState {
     HostId Owner;
     std::string Region;
-    Time ListAt;     ///< When the next hold list is due.
-    Time CompleteAt; ///< When the next complete one is due.
+    Time ListAt;               ///< When the next hold list is due.
+    Time QuietAt;              ///< When one is due though nothing waits.
+    bool SendComplete = false; ///< The next one lists what is in flight.
     Time LastUsed;
     bool Silent = false; ///< A list is not answered yet.
     Time FirstSilent;
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -7,11 +7,13 @@
 namespace shallotlatch {
 
 static constexpr Duration DigestPeriod = millis(500);
-static constexpr Duration CompletePeriod = seconds(3);
+static constexpr Duration QuietPeriod = seconds(3);
 static constexpr Duration SilenceLimit = millis(1200);
 static constexpr Duration ProgressPeriod = seconds(1);
 static constexpr Duration LoadLifetime = seconds(5);
 static constexpr Duration OwnerIdleTime = seconds(6);
+static constexpr Duration MaxReleaseWait = millis(100);
+static constexpr int ReleaseWaitShare = 50;
 // Asks younger than this may still be on their way to the owner.
 static constexpr Duration AskInTransit = millis(200);
 
@@ -105,7 +107,7 @@
     O.Owner = this->Members.ownerOf(P.Id.Value, P.Region);
     O.Region = P.Region;
     O.ListAt = this->Env.Now + DigestPeriod;
-    O.CompleteAt = this->Env.Now + CompletePeriod;
+    O.QuietAt = this->Env.Now + QuietPeriod;
   }
   O.LastUsed = this->Env.Now;
   this->rename(H);
@@ -144,7 +146,10 @@
     Out.Total = this->Env.Now - R.SentAt;
     Out.FirstToken = R.Tokens > 0 ? R.FirstTokenAt - R.SentAt : Duration(0);
   }
-  this->Env.to(R.Owner).Releases.push_back(Out);
+  // A place that was held for long may be given back a little later, in a
+  // frame that leaves anyway.
+  Duration Wait = std::min(Out.Total / ReleaseWaitShare, MaxReleaseWait);
+  this->Env.delayed(R.Owner, Wait).Releases.push_back(Out);
   const std::vector<PoolRef> &Refs = this->poolsOf(R);
   bool Home =
       R.PoolIndex < Refs.size() && Refs[R.PoolIndex].Region == this->Env.Region;
@@ -186,6 +191,13 @@
       this->sendAsk(R);
     }
   }
+  auto It = this->Owners.find(A.Pool);
+  if (It != this->Owners.end() && It->second.Owner == From) {
+    // The list that brought this on may have crossed other messages: the next
+    // one is not sent before its time.
+    It->second.SendComplete = true;
+    It->second.QuietAt = It->second.ListAt;
+  }
 }
 
 void Entry::onPoolLoad(HostId From, const PoolLoad &L) {
@@ -206,7 +218,7 @@
       O.Owner = Now;
       O.Silent = false;
       O.ListAt = this->Env.Now;
-      O.CompleteAt = this->Env.Now;
+      O.SendComplete = true;
     }
   }
   for (uint32_t I : this->Active) {
@@ -239,8 +251,10 @@
     }
     if (R.State == RequestState::Waiting) {
       ++It->second.Waiting;
-      It->second.WaitingDigest += waitingTerm(R.Current);
+      It->second.Digest += waitingTerm(R.Current);
     } else {
+      ++It->second.InFlight;
+      It->second.Digest += heldTerm(R.Current);
       It->second.Held.push_back(HeldGrant{R.Current, R.Target});
     }
   }
@@ -253,10 +267,7 @@
       HoldList &L = Lists[It->first];
       L.Pool = It->first;
       It->second.ListAt = this->Env.Now + DigestPeriod;
-      L.Complete = this->Env.Now >= It->second.CompleteAt;
-      if (L.Complete) {
-        It->second.CompleteAt = this->Env.Now + CompletePeriod;
-      }
+      L.Complete = It->second.SendComplete;
     }
   }
   if (Lists.empty()) {
@@ -270,16 +281,20 @@
 
 void Entry::sendHoldList(PoolId Id, HoldList &L) {
   OwnerState &O = this->Owners[Id];
-  bool Used = L.Waiting > 0 || !L.Held.empty();
+  bool Used = L.Waiting > 0 || L.InFlight > 0;
   if (Used) {
     O.LastUsed = this->Env.Now;
   } else if (this->Env.Now - O.LastUsed > OwnerIdleTime) {
     this->Owners.erase(Id);
     return;
   }
-  if (!L.Complete && L.Waiting == 0) {
+  // Without anything waiting, a list now and then is enough.
+  bool Quiet = !L.Complete && L.Waiting == 0;
+  if (Quiet && this->Env.Now < O.QuietAt) {
     return;
   }
+  O.QuietAt = this->Env.Now + QuietPeriod;
+  O.SendComplete = false;
   if (!O.Silent) {
     O.Silent = true;
     O.FirstSilent = this->Env.Now;
@@ -313,7 +328,8 @@
     R.WindowTokens = 0;
   }
   for (auto &Item : Sums) {
-    this->Env.to(Item.second.first).Progresses.push_back(Item.second.second);
+    this->Env.delayed(Item.second.first, MaxReleaseWait)
+        .Progresses.push_back(Item.second.second);
   }
 }
 
--- a/src/key_home.cpp
+++ b/src/key_home.cpp
@@ -71,6 +71,7 @@
                     const StoredClaim *Stored) {
   ClaimReply R;
   R.Submission = C.Owner.Submission;
+  R.Run = C.Owner.Run;
   R.Result = Result;
   if (Stored != nullptr) {
     R.Holder = Stored->Owner;
--- a/src/messages_p.h
+++ b/src/messages_p.h
@@ -103,23 +103,26 @@
   TargetId Target;
 };
 
-/// Entry host to pool owner, at intervals and when they first meet: all that
-/// it has in flight there, and a digest of what it has waiting.
+/// Entry host to pool owner: at intervals a digest of all that it has waiting
+/// and in flight there; when they first meet, or differ, the list itself.
 struct HoldList {
   PoolId Pool;
   bool Complete = false; ///< `Held` is given; otherwise only the digest is.
   std::vector<HeldGrant> Held;
   uint32_t Waiting = 0;
-  uint64_t WaitingDigest = 0; ///< Sum of the hashes of the waiting ask ids.
+  uint32_t InFlight = 0;
+  uint64_t Digest = 0; ///< Sum of the terms of all asks, waiting and granted.
 };
 
-/// Pool owner to entry host: the digests differ, send every waiting ask again.
+/// Pool owner to entry host: the digests differ. Send every waiting ask again,
+/// and a complete list.
 struct AskAgain {
   PoolId Pool;
 };
 
-/// Term of an ask in a waiting digest.
+/// Terms of an ask in a digest.
 inline uint64_t waitingTerm(AskId Id) { return hashPair(Id.Value, 0); }
+inline uint64_t heldTerm(AskId Id) { return hashPair(Id.Value, 1); }
 
 /// A key used by a caller, hashed, with the date that it carries.
 struct KeyName {
@@ -162,6 +165,7 @@
 
 struct ClaimReply {
   AskId Submission;
+  Incarnation Run; ///< Of the asking host: numbers start again with a run.
   ClaimResult Result = ClaimResult::Granted;
   Claimant Holder;    ///< With `Taken`: who holds it.
   bool Ended = false; ///< With `Taken`: the holder reported its end.
@@ -178,11 +182,13 @@
 /// Entry host to the holder of a key: tell me its outcome when known.
 struct Join {
   AskId Submission; ///< The asking submission.
+  Incarnation Run;  ///< Of the asking host.
   Claimant Holder;
 };
 
 struct JoinReply {
   AskId Submission;
+  Incarnation Run;    ///< Of the asking host.
   bool Known = false; ///< False: that run or submission is not known here.
   Verdict End;
   std::string Answer; ///< Whole answer body, with `Completed`.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -123,12 +123,14 @@
 // cause is delivered too, until nothing is left.
 void Node::pump() {
   this->applyChanges();
+  this->Env.joinDelayed();
   auto It = this->Env.Outbox.find(this->Env.Self);
   while (It != this->Env.Outbox.end()) {
     PeerBatch Batch = std::move(It->second);
     this->Env.Outbox.erase(It);
     this->deliver(this->Env.Self, Batch);
     this->applyChanges();
+    this->Env.joinDelayed();
     It = this->Env.Outbox.find(this->Env.Self);
   }
 }
--- a/src/node_env_p.h
+++ b/src/node_env_p.h
@@ -7,6 +7,7 @@
 #include "shallotlatch/model.h"
 #include "store_p.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
@@ -40,6 +41,14 @@
 using Command = std::variant<DispatchCommand, AnswerCommand, AbortCommand,
                              PollCommand, StoreRequest>;
 
+/// Messages that may wait for others to share their frame.
+struct DelayedBatch {
+  std::vector<Started> Starts;
+  std::vector<Release> Releases;
+  std::vector<Progress> Progresses;
+  Time Due; ///< When they leave alone.
+};
+
 /// Shared by the parts of one node. Only the node changes Now and Wall.
 struct NodeEnv {
   Time Now;
@@ -49,10 +58,22 @@
   std::string Region;
   std::shared_ptr<const Config> Conf;
   std::map<HostId, PeerBatch> Outbox;
+  std::map<HostId, DelayedBatch> Delayed;
   std::vector<Command> Commands;
   std::mt19937_64 Random;
 
   PeerBatch &to(HostId Host) { return this->Outbox[Host]; }
+  /// Messages for \p Host that leave with its next frame, or alone after
+  /// \p Wait.
+  DelayedBatch &delayed(HostId Host, Duration Wait) {
+    auto Added = this->Delayed.emplace(Host, DelayedBatch());
+    DelayedBatch &Batch = Added.first->second;
+    Time Due = this->Now + Wait;
+    Batch.Due = Added.second ? Due : std::min(Batch.Due, Due);
+    return Batch;
+  }
+  /// Moves delayed messages to frames that leave now anyway, and those due.
+  void joinDelayed();
   /// Uniform in [0, Bound).
   uint32_t draw(uint32_t Bound) {
     return std::uniform_int_distribution<uint32_t>(0, Bound - 1)(this->Random);
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -136,7 +136,8 @@
   B.setPool(L.Pool.Value);
   B.setComplete(L.Complete);
   B.setWaiting(L.Waiting);
-  B.setWaitingDigest(L.WaitingDigest);
+  B.setInFlight(L.InFlight);
+  B.setDigest(L.Digest);
   auto List = B.initHeld(static_cast<uint32_t>(L.Held.size()));
   for (uint32_t I = 0; I < L.Held.size(); ++I) {
     List.set(I, (uint64_t(L.Held[I].Id.Value) << 32) | L.Held[I].Target.Value);
@@ -147,7 +148,8 @@
   L.Pool.Value = R.getPool();
   L.Complete = R.getComplete();
   L.Waiting = R.getWaiting();
-  L.WaitingDigest = R.getWaitingDigest();
+  L.InFlight = R.getInFlight();
+  L.Digest = R.getDigest();
   for (uint64_t Both : R.getHeld()) {
     L.Held.push_back(HeldGrant{AskId{static_cast<uint32_t>(Both >> 32)},
                                TargetId{static_cast<uint32_t>(Both)}});
@@ -168,6 +170,7 @@
   B.setHost(C.Host.Value);
   B.setRun(C.Run.Value);
   B.setSubmission(C.Submission.Value);
+  B.setRun(C.Run.Value);
 }
 Claimant get(wire::Claimant::Reader R) {
   return Claimant{HostId{R.getHost()}, Incarnation{R.getRun()},
@@ -185,6 +188,7 @@
 
 void put(wire::ClaimReply::Builder B, const ClaimReply &C) {
   B.setSubmission(C.Submission.Value);
+  B.setRun(C.Run.Value);
   B.setResult(static_cast<uint8_t>(C.Result));
   B.setEnded(C.Ended);
   B.setEndedAs(static_cast<uint8_t>(C.EndedAs));
@@ -195,6 +199,7 @@
 ClaimReply get(wire::ClaimReply::Reader R) {
   ClaimReply C;
   C.Submission.Value = R.getSubmission();
+  C.Run.Value = R.getRun();
   C.Result = checkedEnum(R.getResult(), ClaimResult::TooNew);
   C.Ended = R.getEnded();
   C.EndedAs = checkedEnum(R.getEndedAs(), Outcome::MayHaveRun);
@@ -214,10 +219,12 @@
 
 void put(wire::Join::Builder B, const Join &J) {
   B.setSubmission(J.Submission.Value);
+  B.setRun(J.Run.Value);
   put(B.initHolder(), J.Holder);
 }
 Join get(wire::Join::Reader R) {
-  return Join{AskId{R.getSubmission()}, get(R.getHolder())};
+  return Join{AskId{R.getSubmission()}, Incarnation{R.getRun()},
+              get(R.getHolder())};
 }
 
 capnp::Data::Reader dataOf(const std::string &Text) {
@@ -233,6 +240,7 @@
 
 void put(wire::JoinReply::Builder B, const JoinReply &J) {
   B.setSubmission(J.Submission.Value);
+  B.setRun(J.Run.Value);
   B.setKnown(J.Known);
   B.setOutcome(static_cast<uint8_t>(J.End.Result));
   B.setWhy(static_cast<uint8_t>(J.End.Why));
@@ -242,6 +250,7 @@
 JoinReply get(wire::JoinReply::Reader R) {
   JoinReply J;
   J.Submission.Value = R.getSubmission();
+  J.Run.Value = R.getRun();
   J.Known = R.getKnown();
   J.End.Result = checkedEnum(R.getOutcome(), Outcome::MayHaveRun);
   J.End.Why = checkedEnum(R.getWhy(), Reason::HostFull);
--- a/src/pool.cpp
+++ b/src/pool.cpp
@@ -31,15 +31,15 @@
 }
 
 void Pool::add(const WaitingAsk &W, double Weight) {
-  WaitingSum &Sum = this->WaitingSums[W.Host];
-  ++Sum.Count;
+  HostSum &Sum = this->HostSums[W.Host];
+  ++Sum.Waiting;
   Sum.Digest += waitingTerm(W.Request.Id);
   this->Queue.push(W, this->Targets.nominalCost(W.Request), Weight);
 }
 
 void Pool::subtract(const WaitingAsk &W) {
-  WaitingSum &Sum = this->WaitingSums[W.Host];
-  --Sum.Count;
+  HostSum &Sum = this->HostSums[W.Host];
+  --Sum.Waiting;
   Sum.Digest -= waitingTerm(W.Request.Id);
 }
 
@@ -48,10 +48,24 @@
   this->Queue.remove(H);
 }
 
-bool Pool::sameWaiting(HostId Host, const HoldList &List) const {
-  auto It = this->WaitingSums.find(Host);
-  WaitingSum Sum = It == this->WaitingSums.end() ? WaitingSum() : It->second;
-  return Sum.Count == List.Waiting && Sum.Digest == List.WaitingDigest;
+void Pool::countHeld(HostId Host, AskId Id) {
+  HostSum &Sum = this->HostSums[Host];
+  ++Sum.InFlight;
+  Sum.Digest += heldTerm(Id);
+}
+
+Pool::GrantTable::iterator Pool::forget(GrantTable::iterator It) {
+  HostSum &Sum = this->HostSums[HostId{It->first.first}];
+  --Sum.InFlight;
+  Sum.Digest -= heldTerm(AskId{It->first.second});
+  return this->Grants.erase(It);
+}
+
+bool Pool::same(HostId Host, const HoldList &List) const {
+  auto It = this->HostSums.find(Host);
+  HostSum Sum = It == this->HostSums.end() ? HostSum() : It->second;
+  return Sum.Waiting == List.Waiting && Sum.InFlight == List.InFlight &&
+         Sum.Digest == List.Digest;
 }
 
 // Sheds the newest ask of the lowest waiting tier, if that tier ranks below
@@ -118,6 +132,7 @@
   this->Targets.start(P, W.Request.Prefix, Now);
   Granted &G = this->Grants[{W.Host.Value, W.Request.Id.Value}];
   G = Granted{P, false, Now, Now};
+  this->countHeld(W.Host, W.Request.Id);
   Out.Grants.emplace_back(W.Host,
                           Grant{W.Request.Id, this->Targets.id(P.Target)});
   ++this->GrantedCount;
@@ -172,7 +187,7 @@
   auto It = this->Grants.find({Host.Value, Id.Value});
   if (It != this->Grants.end()) {
     this->Targets.drop(It->second.Place, It->second.Prefilled);
-    this->Grants.erase(It);
+    this->forget(It);
     this->dispatch(Now, Out);
   }
 }
@@ -184,7 +199,7 @@
   }
   ++this->ReleasesInWindow;
   this->Targets.finish(It->second.Place, It->second.Prefilled, R, Now);
-  this->Grants.erase(It);
+  this->forget(It);
   this->dispatch(Now, Out);
 }
 
@@ -217,6 +232,7 @@
     Added.first->second.LastHeard = Now;
     if (Added.second) {
       this->Targets.adopt(Target);
+      this->countHeld(Host, Held.Id);
       AskHandle Waiting = this->Queue.find(Host, Held.Id);
       if (Waiting.isValid()) {
         this->discard(Waiting);
@@ -229,7 +245,7 @@
     if (Lost) {
       this->Targets.drop(It->second.Place, It->second.Prefilled);
     }
-    It = Lost ? this->Grants.erase(It) : std::next(It);
+    It = Lost ? this->forget(It) : std::next(It);
   }
   this->dispatch(Now, Out);
 }
@@ -244,14 +260,14 @@
   for (AskHandle H : Waiting) {
     this->discard(H);
   }
-  this->WaitingSums.erase(Host);
   for (auto It = this->Grants.begin(); It != this->Grants.end();) {
     bool Mine = It->first.first == Host.Value;
     if (Mine) {
       this->Targets.drop(It->second.Place, It->second.Prefilled);
     }
-    It = Mine ? this->Grants.erase(It) : std::next(It);
+    It = Mine ? this->forget(It) : std::next(It);
   }
+  this->HostSums.erase(Host);
   this->dispatch(Now, Out);
 }
 
--- a/src/pool_host.cpp
+++ b/src/pool_host.cpp
@@ -114,7 +114,7 @@
   this->Pools[L.Pool].LastAsk = this->Env.Now;
   P->hold(this->Env.Now, From, L, Replies);
   this->send(Replies);
-  if (!P->sameWaiting(From, L)) {
+  if (!P->same(From, L)) {
     this->Env.to(From).AskAgains.push_back(AskAgain{L.Pool});
   }
   this->Env.to(From).PoolLoads.push_back(P->load(L.Pool));
--- a/src/pool_p.h
+++ b/src/pool_p.h
@@ -62,8 +62,8 @@
   /// Takes over what \p Host has in flight here, and drops older grants to it
   /// that it does not have.
   void hold(Time Now, HostId Host, const HoldList &List, PoolReplies &Out);
-  /// Whether \p Host has the same asks waiting here as it lists.
-  bool sameWaiting(HostId Host, const HoldList &List) const;
+  /// Whether \p Host has the same asks here as its list says.
+  bool same(HostId Host, const HoldList &List) const;
   /// Frees everything of a host that died.
   void hostGone(Time Now, HostId Host, PoolReplies &Out);
   void setLeaving(TargetId Id, bool Leaving);
@@ -90,6 +90,9 @@
   void add(const WaitingAsk &W, double Weight);
   void discard(AskHandle H);
   void subtract(const WaitingAsk &W);
+  using GrantTable = std::unordered_map<GrantKey, Granted, GrantKeyHash>;
+  GrantTable::iterator forget(GrantTable::iterator It);
+  void countHeld(HostId Host, AskId Id);
   bool makeRoom(const Ask &A, PoolReplies &Out);
   bool grantNext(Time Now, PoolReplies &Out);
   bool tryGrant(AskHandle H, bool SpareLane, Time Now, PoolReplies &Out);
@@ -102,13 +105,14 @@
   PolicySpec Policy;
   PoolQueue Queue;
   TargetTable Targets;
-  std::unordered_map<GrantKey, Granted, GrantKeyHash> Grants;
-  /// Of one entry host: how many asks wait here, and the sum of their terms.
-  struct WaitingSum {
-    uint32_t Count = 0;
+  GrantTable Grants;
+  /// Of one entry host: its asks here, and the sum of their terms.
+  struct HostSum {
+    uint32_t Waiting = 0;
+    uint32_t InFlight = 0;
     uint64_t Digest = 0;
   };
-  std::unordered_map<HostId, WaitingSum> WaitingSums;
+  std::unordered_map<HostId, HostSum> HostSums;
   uint64_t GrantedCount = 0;
   uint64_t ShedCount = 0;
   uint64_t ExpiredCount = 0;
--- a/tests/test_failures.cpp
+++ b/tests/test_failures.cpp
@@ -432,3 +432,19 @@
   // Two documents, watched by two readers in each of two regions.
   CHECK(F->store().reads() + F->store().writes() - Before <= 8);
 }
+
+// Found by the fuzz: the claim of a dead run was granted to the request with
+// the same number in the host's next run, and its key ran twice.
+TEST(Failures, aReplyToAnEarlierRunFitsNoRequestOfTheNext) {
+  open();
+  FakeRequest Other = keyed(3, "other");
+  FakeRequest R = keyed(2, "posting");
+  F->submit(0, Other);
+  F->kill(0);
+  size_t First = F->submit(1, R);
+  F->start(0);
+  F->advance(millis(2));
+  size_t Second = F->submit(0, R);
+  F->settle(seconds(20));
+  LONGS_EQUAL(1, F->runsOf(First) + F->runsOf(Second));
+}
--- a/tools/bench_policies.cpp
+++ b/tools/bench_policies.cpp
@@ -15,11 +15,11 @@
     return this->Reports[this->Turn++ % Count].Id;
   }
   if (this->Rule == PickRule::LeastReported) {
-    auto Least = std::min_element(
-        this->Reports.begin(), this->Reports.end(),
-        [](const ReportedLoad &A, const ReportedLoad &B) {
-          return A.Load < B.Load;
-        });
+    auto Least =
+        std::min_element(this->Reports.begin(), this->Reports.end(),
+                         [](const ReportedLoad &A, const ReportedLoad &B) {
+                           return A.Load < B.Load;
+                         });
     return Least->Id;
   }
   std::uniform_int_distribution<size_t> Draw(0, Count - 1);
@@ -33,8 +33,7 @@
   Out.Grants.emplace_back(Host, Grant{A.Id, this->pick()});
 }
 
-EscrowPolicy::EscrowPolicy(uint32_t Hosts,
-                           const std::vector<TargetSpec> &Specs,
+EscrowPolicy::EscrowPolicy(uint32_t Hosts, const std::vector<TargetSpec> &Specs,
                            const PolicySpec &Policy)
     : Specs(Specs) {
   PolicySpec Part = Policy;
@@ -57,8 +56,7 @@
                            PoolReplies &Out) {
   this->of(Host).enqueue(Now, Host, A, Weight, Out);
 }
-void EscrowPolicy::withdraw(Time Now, HostId Host, AskId Id,
-                            PoolReplies &Out) {
+void EscrowPolicy::withdraw(Time Now, HostId Host, AskId Id, PoolReplies &Out) {
   this->of(Host).withdraw(Now, Host, Id, Out);
 }
 void EscrowPolicy::release(Time Now, HostId Host, const Release &R,
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -65,9 +65,9 @@
   Duration Deadline;
 };
 const KindRule KindRules[] = {
-    {"ruling", 0, seconds(60)},        {"question", 1, seconds(10)},
-    {"tag-accounts", 2, seconds(20)},  {"pattern-brief", 0, seconds(60)},
-    {"reply", 1, seconds(10)},         {"tag-order", 2, seconds(20)},
+    {"ruling", 0, seconds(60)},       {"question", 1, seconds(10)},
+    {"tag-accounts", 2, seconds(20)}, {"pattern-brief", 0, seconds(60)},
+    {"reply", 1, seconds(10)},        {"tag-order", 2, seconds(20)},
 };
 const char *const TierNames[] = {"top", "middle", "low"};
 
@@ -210,8 +210,8 @@
     PickRule Rule = Name == "round-robin"      ? PickRule::RoundRobin
                     : Name == "least-reported" ? PickRule::LeastReported
                                                : PickRule::PowerOfTwo;
-    this->Policy = std::make_unique<ImmediatePolicy>(Rule, this->Reports,
-                                                     this->Init.Seed);
+    this->Policy =
+        std::make_unique<ImmediatePolicy>(Rule, this->Reports, this->Init.Seed);
     return;
   }
   if (Name == "escrow") {
@@ -322,8 +322,8 @@
   if (this->Engines[I].DownUntil > this->Now) {
     // A refused connection: the place goes back, and the request asks again.
     PoolReplies Out;
-    this->Policy->release(this->Now, J.Host, this->releaseOf(Id,
-                          RunResult::Unsent), Out);
+    this->Policy->release(this->Now, J.Host,
+                          this->releaseOf(Id, RunResult::Unsent), Out);
     this->apply(Out);
     this->at(this->Now + millis(20), [this, Id]() {
       if (!this->Jobs[Id].Ended && !this->OwnerGone) {
@@ -472,8 +472,8 @@
 void Bench::report() {
   std::vector<ReportedLoad> Fresh = this->Reports;
   for (size_t I = 0; I < this->Engines.size(); ++I) {
-    Fresh[I].Load = this->Engines[I].Model->running() +
-                    this->Engines[I].Model->queued();
+    Fresh[I].Load =
+        this->Engines[I].Model->running() + this->Engines[I].Model->queued();
   }
   this->at(this->Now + this->Init.What.ReportLag,
            [this, Fresh]() { this->Reports = Fresh; });
--- a/tools/policy_bench.h
+++ b/tools/policy_bench.h
@@ -17,8 +17,8 @@
 /// What goes wrong, and how hard the load is.
 struct Scenario {
   std::string Name;
-  double Load = 0.8;  ///< Offered work over the engines' capacity.
-  double Burst = 1;   ///< Factor of the rate between 40 s and 50 s.
+  double Load = 0.8;       ///< Offered work over the engines' capacity.
+  double Burst = 1;        ///< Factor of the rate between 40 s and 50 s.
   bool MonthEnd = false;   ///< One customer adds long prompts from 30 s on.
   bool SlowEngine = false; ///< One engine at a tenth from 30 s to 60 s.
   Duration ReportLag = millis(1000);
--- /dev/null
+++ b/tools/slopes.cpp
@@ -0,0 +1,329 @@
+// Measures the slopes that docs/CAPACITY.md is worked out from: bytes, time
+// and memory of each role, at several sizes. Usage: shallot-slopes
+#include "documents_p.h"
+#include "key_bucket_p.h"
+#include "node_p.h"
+#include "peer_codec_p.h"
+#include "pool_p.h"
+#include "shallotlatch/builder.h"
+
+#include <malloc.h>
+
+#include <iomanip>
+#include <iostream>
+#include <memory>
+
+using namespace shallotlatch;
+
+static size_t heapBytes() { return mallinfo2().uordblks; }
+
+static double usSince(Time Start) {
+  return static_cast<double>((ProcessClock::now() - Start).count());
+}
+
+static void print(const std::string &What, double Value, const char *Unit) {
+  std::cout << std::left << std::setw(58) << What << std::right << std::fixed
+            << std::setprecision(2) << std::setw(12) << Value << " " << Unit
+            << "\n";
+}
+
+static Ask sampleAsk(uint32_t Number) {
+  Ask A;
+  A.Id = AskId{Number};
+  A.Pool = poolId("region-3", "model-2");
+  A.Customer = CustomerId{static_cast<uint32_t>(hashPair(Number, 1))};
+  A.Tier = Number % 4;
+  A.PromptTokens = 300 + Number % 4000;
+  A.OutputTokens = 300;
+  A.Slack = millis(20000 + Number);
+  A.Prefix = hashPrefixes(std::string(16000, 'a' + Number % 26));
+  return A;
+}
+
+// One frame's bytes with one and with eight messages tell the cost of a frame
+// and of a message in it.
+template <typename Fill>
+static void frameSlope(const std::string &What, Fill Add) {
+  PeerBatch One;
+  Add(One, 100001);
+  PeerBatch Eight;
+  for (uint32_t I = 0; I < 8; ++I) {
+    Add(Eight, 100001 + I * 17);
+  }
+  double First = static_cast<double>(encodeFrame(One).size());
+  double Slope = (static_cast<double>(encodeFrame(Eight).size()) - First) / 7;
+  print(What + ", alone in its frame", First, "bytes");
+  print(What + ", each further one", Slope, "bytes");
+}
+
+static void wire() {
+  std::cout << "-- messages between hosts\n";
+  PoolId Pool = poolId("region-3", "model-2");
+  frameSlope("ask", [](PeerBatch &B, uint32_t N) {
+    B.Asks.push_back(sampleAsk(N));
+  });
+  frameSlope("grant", [](PeerBatch &B, uint32_t N) {
+    B.Grants.push_back(Grant{AskId{N}, targetId(std::to_string(N))});
+  });
+  frameSlope("started", [&](PeerBatch &B, uint32_t N) {
+    B.Starts.push_back(Started{AskId{N}, Pool});
+  });
+  frameSlope("release", [&](PeerBatch &B, uint32_t N) {
+    Release R;
+    R.Id = AskId{N};
+    R.Pool = Pool;
+    R.FirstToken = millis(300);
+    R.Total = millis(9000);
+    R.OutputTokens = 300;
+    B.Releases.push_back(R);
+  });
+  frameSlope("progress of one target", [&](PeerBatch &B, uint32_t N) {
+    B.Progresses.push_back(
+        Progress{Pool, targetId(std::to_string(N)), 200, millis(7000), 0});
+  });
+  frameSlope("heartbeat", [](PeerBatch &B, uint32_t N) {
+    Heartbeat H;
+    H.Run = Incarnation{1700000000000000ULL + N};
+    H.Versions = {Version{120000}, Version{300000}};
+    H.Digest = hashPair(N, 2);
+    B.Heartbeats.push_back(H);
+  });
+  frameSlope("opinion", [](PeerBatch &B, uint32_t N) {
+    B.Opinions.push_back(Opinion{HostId{hashPair(N, 1)},
+                                 Incarnation{1700000000000000},
+                                 HostId{hashPair(N, 2)}, 1700000000,
+                                 Opinion::State::Suspect});
+  });
+  frameSlope("claim", [](PeerBatch &B, uint32_t N) {
+    Claim C;
+    C.Key = KeyName{hashPair(N, 1), hashPair(N, 2), WallMillis{1700000000000}};
+    C.BodyHash = hashPair(N, 3);
+    C.Owner = Claimant{HostId{hashPair(N, 4)}, Incarnation{1700000000000000},
+                       AskId{N}};
+    B.Claims.push_back(C);
+  });
+  for (uint32_t Held : {0u, 50u, 300u}) {
+    PeerBatch B;
+    HoldList L;
+    L.Pool = Pool;
+    L.Complete = true;
+    L.Waiting = 10;
+    L.InFlight = Held;
+    L.Digest = hashPair(1, 2);
+    for (uint32_t I = 0; I < Held; ++I) {
+      L.Held.push_back(
+          HeldGrant{AskId{100000 + I}, targetId(std::to_string(I % 40))});
+    }
+    B.HoldLists.push_back(L);
+    print("hold list of " + std::to_string(Held),
+          static_cast<double>(encodeFrame(B).size()), "bytes");
+  }
+}
+
+static std::vector<TargetSpec> targetsOf(uint32_t Count) {
+  std::vector<TargetSpec> Specs(Count);
+  for (uint32_t I = 0; I < Count; ++I) {
+    Specs[I].Name = "target-" + std::to_string(I);
+    Specs[I].Slots = 8;
+  }
+  return Specs;
+}
+
+// Time of one full turn of an ask: queued, granted, released.
+static void poolSlope(uint32_t Targets, uint32_t Waiting) {
+  size_t Before = heapBytes();
+  PolicySpec Policy;
+  Policy.PoolCapacity = SHALLOTLATCH_CONFIG_MAX_WAITING;
+  std::vector<TargetSpec> Specs = targetsOf(Targets);
+  std::vector<const TargetSpec *> Pointers;
+  for (const TargetSpec &T : Specs) {
+    Pointers.push_back(&T);
+  }
+  Pool P("region", "group", Policy);
+  P.configure(Pointers, Policy);
+  Time Now{seconds(100)};
+  uint32_t Next = 1;
+  std::vector<std::pair<HostId, Grant>> Granted;
+  PoolReplies Out;
+  auto Push = [&]() {
+    Ask A = sampleAsk(Next++);
+    A.Prefix = PrefixHashes();
+    A.Slack = seconds(1000);
+    P.enqueue(Now, HostId{Next % 6 + 1}, A, 1, Out);
+  };
+  while (P.stats().Waiting < Waiting) {
+    Push();
+  }
+  Granted = Out.Grants;
+  constexpr uint32_t Turns = 20000;
+  Time Start = ProcessClock::now();
+  for (uint32_t I = 0; I < Turns; ++I) {
+    Out = PoolReplies();
+    Release R;
+    R.Id = Granted[I].second.Id;
+    P.release(Now, Granted[I].first, R, Out);
+    Push();
+    Granted.insert(Granted.end(), Out.Grants.begin(), Out.Grants.end());
+  }
+  print("pool, " + std::to_string(Targets) + " targets, " +
+            std::to_string(Waiting) + " waiting: one turn",
+        usSince(Start) / Turns, "us");
+  Time TickStart = ProcessClock::now();
+  for (int I = 0; I < 1000; ++I) {
+    Now += millis(10);
+    P.tick(Now, Out);
+  }
+  print("  one tick", usSince(TickStart) / 1000, "us");
+  print("  memory", static_cast<double>(heapBytes() - Before) / 1024, "KiB");
+}
+
+static std::string hostsJson(uint32_t Count) {
+  nlohmann::json List = nlohmann::json::array();
+  for (uint32_t I = 0; I < Count; ++I) {
+    List.push_back({{"name", "host-" + std::to_string(I)},
+                    {"region", "region-" + std::to_string(I % 7)},
+                    {"domain", "domain-" + std::to_string(I % 18)},
+                    {"peer", "10.0.0.1:7000"}});
+  }
+  return nlohmann::json{{"hosts", List}}.dump();
+}
+
+static std::string bigConfig(uint32_t Targets, uint32_t Customers) {
+  ConfigBuilder B;
+  for (int I = 0; I < 4; ++I) {
+    B.tier({"tier-" + std::to_string(I), 0.99});
+  }
+  for (uint32_t I = 0; I < Customers; ++I) {
+    CustomerSpec C;
+    C.Name = "customer-" + std::to_string(I);
+    B.customer(C, C.Name);
+  }
+  for (uint32_t I = 0; I < Targets; ++I) {
+    TargetSpec T;
+    T.Name = "target-" + std::to_string(I);
+    T.Group = "model-" + std::to_string(I % 6);
+    T.Region = "region-" + std::to_string(I % 7);
+    T.Domain = "domain-" + std::to_string(I % 18);
+    T.Address = "10.0.0.1:8000";
+    B.target(T);
+  }
+  for (int I = 0; I < 6; ++I) {
+    KindSpec K;
+    K.Name = "kind-" + std::to_string(I);
+    K.Group = "model-" + std::to_string(I);
+    K.Tier = "tier-0";
+    B.kind(K);
+  }
+  return B.print();
+}
+
+static StoreReply documentReply(uint32_t Token, uint64_t Number,
+                                const std::string &Body) {
+  StoreReply R;
+  R.Token = Token;
+  R.Result = StoreReply::Status::Ok;
+  R.Number = Version{Number};
+  R.Body = Body;
+  return R;
+}
+
+// A node that knows a fleet of a given size, and does nothing but tick.
+static void nodeSlope(uint32_t Hosts, uint32_t Targets, uint32_t Customers) {
+  size_t Before = heapBytes();
+  NodeInit Init;
+  Init.Name = "host-0";
+  Init.Region = "region-0";
+  Init.Run = Incarnation{1700000000000000};
+  Init.Start = Time(seconds(100));
+  std::unique_ptr<Node> N = std::make_unique<Node>(Init);
+  std::string Text = bigConfig(Targets, Customers);
+  Time Now = Init.Start;
+  N->setTime(Now, WallMillis{1700000000000});
+  Time Start = ProcessClock::now();
+  N->storeReply(documentReply(1, 1, Text));
+  double Adopt = usSince(Start);
+  N->storeReply(documentReply(2, 1, hostsJson(Hosts)));
+  std::string Label = std::to_string(Hosts) + " hosts, " +
+                      std::to_string(Targets) + " targets, " +
+                      std::to_string(Customers) + " customers";
+  print(Label + ": first configuration", Adopt / 1000, "ms");
+  print("  size of the configuration",
+        static_cast<double>(nlohmann::json::parse(Text).dump().size()) / 1024,
+        "KiB");
+  nlohmann::json Changed = nlohmann::json::parse(Text);
+  Changed["customers"][0]["weight"] = 7;
+  Start = ProcessClock::now();
+  N->storeReply(documentReply(1, 2, Changed.dump()));
+  print("  one change", usSince(Start) / 1000, "ms");
+  PeerBatch Want;
+  Want.DocumentWants.push_back(DocumentWant{Document::Config, Version{1}});
+  N->takeOutbox();
+  N->receive(hostId("host-1"), Want);
+  size_t Patch = 0;
+  for (const auto &Item : N->takeOutbox()) {
+    if (!Item.second.DocumentBodies.empty()) {
+      Patch = encodeFrame(Item.second).size();
+    }
+  }
+  print("  that change as a patch", static_cast<double>(Patch), "bytes");
+  print("  memory of the node", static_cast<double>(heapBytes() - Before) / 1e6,
+        "MB");
+  size_t Bytes = 0;
+  constexpr int Seconds = 20;
+  Start = ProcessClock::now();
+  double Encode = 0;
+  for (int I = 0; I < Seconds * 100; ++I) {
+    Now += millis(10);
+    N->setTime(Now, WallMillis{1700000000000});
+    N->tick();
+    for (uint32_t Other = 1; I % 50 == 0 && Other < Hosts; ++Other) {
+      N->receive(hostId("host-" + std::to_string(Other)), PeerBatch());
+    }
+    Time EncodeStart = ProcessClock::now();
+    for (const auto &Item : N->takeOutbox()) {
+      Bytes += encodeFrame(Item.second).size();
+    }
+    Encode += usSince(EncodeStart);
+    N->takeCommands();
+  }
+  print("  processor of an idle node, of one core",
+        usSince(Start) / (Seconds * 1e6) * 100, "%");
+  print("  membership traffic of an idle node",
+        static_cast<double>(Bytes) / Seconds, "bytes/s");
+}
+
+static void claimSlope() {
+  std::cout << "-- claim objects\n";
+  for (uint32_t Claims : {10u, 100u, 1000u}) {
+    KeyBucket B;
+    B.Slot = 28333333;
+    for (uint32_t I = 0; I < Claims; ++I) {
+      KeyName K{hashPair(I, 1), hashPair(I, 2), WallMillis{1700000000000 + I}};
+      B.Claims[K].Owner = Claimant{HostId{hashPair(I, 3)},
+                                   Incarnation{1700000000000000}, AskId{I}};
+      B.Claims[K].BodyHash = hashPair(I, 4);
+    }
+    Time Start = ProcessClock::now();
+    std::string Text = printKeyBucket(B);
+    parseKeyBucket(Text);
+    print("object of " + std::to_string(Claims) + " claims, a claim",
+          static_cast<double>(Text.size()) / Claims, "bytes");
+    print("  printed and parsed", usSince(Start), "us");
+  }
+}
+
+int main() {
+  wire();
+  std::cout << "-- pool owner\n";
+  poolSlope(7, 100);
+  poolSlope(70, 100);
+  poolSlope(70, 1000);
+  poolSlope(70, 10000);
+  poolSlope(700, 10000);
+  claimSlope();
+  std::cout << "-- node\n";
+  nodeSlope(8, 15, 5);
+  nodeSlope(100, 700, 300);
+  nodeSlope(390, 2900, 1100);
+  return 0;
+}
