Report progress only of targets that stand out

Cause: measured by shallot-slopes, an entry host at the target's 36 requests/s sent 8016 bytes/s of control; reports of every target in use were more than half. Releases now teach the owner the usual interval between tokens, and only targets slower than twice the pool's median, or stalled, are reported.

--- a/src/entry_p.h
+++ b/src/entry_p.h
@@ -180,6 +180,7 @@
   void endUnjoined(RequestHandle H);
   void retryClaims();
   void sendProgress();
+  static bool standsOut(const Progress &P, std::vector<double> PoolIntervals);
   void askJoin(Request &R);
   Claimant claimantOf(const Request &R) const;
 
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -10,7 +10,8 @@
 static constexpr Duration QuietPeriod = seconds(3);
 static constexpr Duration SilenceLimit = millis(1200);
 static constexpr Duration ProgressPeriod = seconds(1);
-static constexpr Duration LoadLifetime = seconds(5);
+// A target this many times slower than the pool's median is reported.
+static constexpr double ReportFactor = 2;
 static constexpr Duration OwnerIdleTime = seconds(6);
 static constexpr Duration MaxReleaseWait = millis(100);
 static constexpr int ReleaseWaitShare = 50;
@@ -308,6 +309,25 @@
   this->Env.to(O.Owner).HoldLists.push_back(std::move(L));
 }
 
+// Interval between tokens that a target's streams saw, in microseconds.
+static double intervalOf(const Progress &P) {
+  return static_cast<double>(P.StreamTime.count()) /
+         std::max<double>(P.Tokens, 0.5);
+}
+
+// Only what stands out is reported: releases tell the owner of all others. A
+// report for every target in use took more than half of a node's control
+// bytes.
+bool Entry::standsOut(const Progress &P, std::vector<double> PoolIntervals) {
+  if (P.Stalled > 0 || PoolIntervals.size() < 2) {
+    return true;
+  }
+  size_t Middle = (PoolIntervals.size() - 1) / 2;
+  std::nth_element(PoolIntervals.begin(), PoolIntervals.begin() + Middle,
+                   PoolIntervals.end());
+  return intervalOf(P) > ReportFactor * PoolIntervals[Middle];
+}
+
 void Entry::sendProgress() {
   Duration Window = ProgressPeriod;
   this->NextProgress = this->Env.Now + Window;
@@ -327,9 +347,16 @@
     P.Stalled += R.WindowTokens == 0 ? 1 : 0;
     R.WindowTokens = 0;
   }
-  for (auto &Item : Sums) {
-    this->Env.delayed(Item.second.first, MaxReleaseWait)
-        .Progresses.push_back(Item.second.second);
+  std::map<PoolId, std::vector<double>> Intervals;
+  for (const auto &Item : Sums) {
+    Intervals[Item.first.first].push_back(intervalOf(Item.second.second));
+  }
+  for (const auto &Item : Sums) {
+    const Progress &P = Item.second.second;
+    if (standsOut(P, Intervals[P.Pool])) {
+      this->Env.delayed(Item.second.first, MaxReleaseWait)
+          .Progresses.push_back(P);
+    }
   }
 }
 
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -288,6 +288,10 @@
     this->Prefixes.forget(P.Target.Index);
     this->eject(R, std::min(Back, MaxEjection), Now);
   }
+  if (Ended.Result == RunResult::Done && Ended.OutputTokens > 1) {
+    R.WindowTokens += Ended.OutputTokens - 1;
+    R.WindowUs += static_cast<double>((Ended.Total - Ended.FirstToken).count());
+  }
   // Only a prompt that was alone teaches the speed, and only a longer one:
   // short ones say more about the batch's steps.
   bool Teaches =
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -480,6 +480,11 @@
   this->at(this->Now + ReportPeriod, [this]() { this->report(); });
 }
 
+static double intervalOf(const Progress &P) {
+  return static_cast<double>(P.StreamTime.count()) /
+         std::max<double>(P.Tokens, 0.5);
+}
+
 void Bench::progress() {
   std::map<int, Progress> Sums;
   for (uint32_t Id : this->Open) {
@@ -494,8 +499,17 @@
     P.Stalled += J.WindowTokens == 0 ? 1 : 0;
     J.WindowTokens = 0;
   }
+  std::vector<double> Intervals;
   for (const auto &Item : Sums) {
-    this->Policy->observe(this->Now, Item.second);
+    Intervals.push_back(intervalOf(Item.second));
+  }
+  for (const auto &Item : Sums) {
+    // As entry hosts do: only what stands out is reported.
+    bool Slow = Item.second.Stalled > 0 ||
+                intervalOf(Item.second) > 2 * quantileOf(Intervals, 0.49);
+    if (Slow) {
+      this->Policy->observe(this->Now, Item.second);
+    }
   }
   this->at(this->Now + seconds(1), [this]() { this->progress(); });
 }
--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -310,8 +310,91 @@
   }
 }
 
+// One entry host at the target's rate: 36 requests/s over six pools, whose
+// owners are six of its region's 56 hosts. Owners are played by immediate
+// grants; requests run for eight seconds and give a token every 37 ms.
+static void entrySlope() {
+  constexpr uint32_t RatePerSecond = 36;
+  constexpr int Seconds = 40;
+  NodeInit Init;
+  Init.Name = "host-0";
+  Init.Region = "region-0";
+  Init.Run = Incarnation{1700000000000000};
+  Init.Start = Time(seconds(100));
+  Node N(Init);
+  Time Now = Init.Start;
+  N.setTime(Now, WallMillis{1700000000000});
+  N.storeReply(documentReply(1, 1, bigConfig(2900, 1100)));
+  N.storeReply(documentReply(2, 1, hostsJson(390)));
+  std::vector<std::pair<Time, RequestHandle>> Running;
+  uint32_t Sent = 0;
+  size_t Out = 0;
+  size_t Frames = 0;
+  size_t Back = 0;
+  for (int Step = 0; Step < Seconds * 100; ++Step) {
+    Now += millis(10);
+    N.setTime(Now, WallMillis{1700000000000});
+    N.tick();
+    for (uint32_t Other = 1; Step % 50 == 0 && Other < 390; ++Other) {
+      N.receive(hostId("host-" + std::to_string(Other)), PeerBatch());
+    }
+    if (Sent * 100 < RatePerSecond * static_cast<uint32_t>(Step)) {
+      Submission S;
+      S.Customer = customerId("customer-" + std::to_string(Sent % 1100));
+      S.Kind = kindId("kind-" + std::to_string(Sent % 6));
+      S.PromptTokens = 700;
+      S.OutputTokens = 216;
+      S.Prefix = hashPrefixes(std::string(2800, 'a' + Sent % 26));
+      S.Deadline = seconds(60);
+      N.submit(S);
+      ++Sent;
+    }
+    std::map<HostId, PeerBatch> Batches = N.takeOutbox();
+    for (auto &Item : Batches) {
+      Out += encodeFrame(Item.second).size();
+      ++Frames;
+      PeerBatch Reply;
+      for (const Ask &A : Item.second.Asks) {
+        Reply.Grants.push_back(Grant{
+            A.Id, targetId("target-" + std::to_string(A.Id.Value % 414 * 7))});
+      }
+      for (const HoldList &L : Item.second.HoldLists) {
+        PoolLoad Load;
+        Load.Pool = L.Pool;
+        Reply.PoolLoads.push_back(Load);
+      }
+      if (!Reply.Grants.empty() || !Reply.PoolLoads.empty()) {
+        Back += encodeFrame(Reply).size();
+        N.receive(Item.first, Reply);
+      }
+    }
+    for (const Command &C : N.takeCommands()) {
+      if (const DispatchCommand *D = std::get_if<DispatchCommand>(&C)) {
+        N.sending(D->Request);
+        Running.emplace_back(Now, D->Request);
+      }
+    }
+    for (size_t I = 0; I < Running.size();) {
+      N.tokens(Running[I].second, Step % 4 == 0 ? 1 : 0);
+      if (Now - Running[I].first > seconds(8)) {
+        N.ended(Running[I].second, RunEnd());
+        Running[I] = Running.back();
+        Running.pop_back();
+      } else {
+        ++I;
+      }
+    }
+  }
+  std::cout << "-- entry host at " << RatePerSecond << " requests/s\n";
+  print("sent to owners, monitors and peers", double(Out) / Seconds, "bytes/s");
+  print("  frames", double(Frames) / Seconds, "1/s");
+  print("received from owners", double(Back) / Seconds, "bytes/s");
+  print("sent per request, all in", double(Out) / Sent, "bytes");
+}
+
 int main() {
   wire();
+  entrySlope();
   std::cout << "-- pool owner\n";
   poolSlope(7, 100);
   poolSlope(70, 100);
