Policy bench: a tighter bound, from steps by chunks and by batches

Now engine time is exact but for the number of steps, which is bounded below twice; the smaller result is taken, and only work done within the run counts.

--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -117,6 +117,30 @@
   bool Ended = false;
 };
 
+// Engine seconds at speed one. A step takes its base time, the time of its
+// prompt chunk, and a little for each token that it gives; so the sum over all
+// steps is exact but for their number.
+struct EngineWork {
+  double Prefill = 0; ///< Tokens that must be prefilled.
+  double Output = 0;  ///< Tokens given.
+
+  static constexpr double BaseStep = 0.024;
+  static constexpr double BatchSoftness = 16;
+  static constexpr double ChunkTokens = 512;
+
+  double fixedSeconds() const {
+    return this->Prefill / 5000 + this->Output * BaseStep / BatchSoftness;
+  }
+  /// Steps needed because a step takes one chunk of prompts at the most.
+  double secondsByChunks() const {
+    return this->fixedSeconds() + BaseStep * this->Prefill / ChunkTokens;
+  }
+  /// Steps needed because a step gives one token a request of a full batch.
+  double secondsByBatch() const {
+    return this->fixedSeconds() + BaseStep * this->Output / FullBatch;
+  }
+};
+
 /// One run: events in virtual time.
 class Bench {
 public:
@@ -137,7 +161,8 @@
     this->Queue.emplace(When, std::move(Event));
   }
   void makePolicy();
-  double costOf(const MixEntry &E, double Speed) const;
+  double speed() const;
+  double boundWith(double (EngineWork::*Seconds)() const) const;
   double capacityPerSecond() const;
   void arrive();
   void add(const DrawnRequest &D);
@@ -237,29 +262,26 @@
   this->Policy = std::move(Ours);
 }
 
-// Engine seconds that one request of an entry takes at the least, at a speed:
-// what cannot be cached of its
-// prompt, and its share of full-batch steps.
-double Bench::costOf(const MixEntry &E, double Speed) const {
-  double Mean = std::exp(E.Spread * E.Spread / 2);
-  double Prompt =
-      E.PromptTokens * Mean + E.SharedTokens - cacheable(E.SharedTokens);
-  double Step = 0.024 / Speed * (1 + FullBatch / 16.0);
-  return Prompt / (5000 * Speed) + E.OutputTokens * Step / FullBatch;
-}
-
 double Bench::capacityPerSecond() const {
   double Shares = 0;
-  double Cost = 0;
+  EngineWork Mean;
   for (const MixEntry &E : this->Requests.Entries) {
     Shares += E.Share;
-    Cost += E.Share * this->costOf(E, 1);
+    double Unique = E.PromptTokens * std::exp(E.Spread * E.Spread / 2);
+    Mean.Prefill +=
+        E.Share * (Unique + E.SharedTokens - cacheable(E.SharedTokens));
+    Mean.Output += E.Share * E.OutputTokens;
   }
-  double Speed = 0;
+  double Cost = std::max(Mean.secondsByChunks(), Mean.secondsByBatch());
+  return this->speed() * Shares / Cost;
+}
+
+double Bench::speed() const {
+  double Sum = 0;
   for (uint32_t I = 0; I < this->Init.Engines; ++I) {
-    Speed += Generations[I % 5];
+    Sum += Generations[I % 5];
   }
-  return Speed * Shares / Cost;
+  return Sum;
 }
 
 void Bench::arrive() {
@@ -419,6 +441,10 @@
     BenchTier &T = this->Result.Tiers[J.Tier];
     ++T.Good;
     T.GoodWork += J.PromptTokens + J.OutputTokens;
+    // The bound spends the run's own seconds, so only these count against it.
+    if (this->Now <= this->Stop) {
+      this->Result.GoodWork += J.PromptTokens + J.OutputTokens;
+    }
   }
   if (!this->OwnerGone) {
     PoolReplies Out;
@@ -560,16 +586,19 @@
   });
 }
 
-// The bound: all engine seconds of the run and of the longest deadline after
-// it, spent without any loss on the cheapest form of each request (its shared
-// prefix always cached as far as the engines can, every step at a full batch),
-// the top tier first and within a tier the most work per second first.
+// The bound: all engine seconds of the run, spent without any loss on the
+// cheapest form of each request (its shared prefix always cached as far as the
+// engines can), the top tier first and within a tier the most work per second
+// first. The number of steps is bounded below twice, by chunks and by batches;
+// either bound holds, so the smaller result is taken.
 double Bench::bound() const {
-  double Speed = 0;
-  for (uint32_t I = 0; I < this->Init.Engines; ++I) {
-    Speed += Generations[I % 5];
-  }
-  double Seconds = Speed * toSeconds(this->Init.Length);
+  double ByChunks = this->boundWith(&EngineWork::secondsByChunks);
+  double ByBatch = this->boundWith(&EngineWork::secondsByBatch);
+  return std::min(ByChunks, ByBatch);
+}
+
+double Bench::boundWith(double (EngineWork::*Seconds)() const) const {
+  double Left = this->speed() * toSeconds(this->Init.Length);
   double Work = 0;
   for (uint8_t Tier = 0; Tier < 3; ++Tier) {
     std::vector<std::pair<double, double>> Items; // Cost per work, cost.
@@ -577,15 +606,16 @@
       if (J.Tier != Tier) {
         continue;
       }
-      double Unique = J.PromptTokens - J.SharedTokens;
-      double Step = 0.024 * (1 + FullBatch / 16.0) / FullBatch;
-      double Cost = Unique / 5000 + J.OutputTokens * Step;
+      EngineWork W;
+      W.Prefill = J.PromptTokens - J.SharedTokens;
+      W.Output = J.OutputTokens;
+      double Cost = (W.*Seconds)();
       Items.emplace_back(Cost / (J.PromptTokens + J.OutputTokens), Cost);
     }
     std::sort(Items.begin(), Items.end());
     for (const auto &Item : Items) {
-      double Spent = std::min(Seconds, Item.second);
-      Seconds -= Spent;
+      double Spent = std::min(Left, Item.second);
+      Left -= Spent;
       Work += Spent / Item.first;
     }
   }
@@ -642,9 +672,6 @@
     this->Result.PrefillTokens += E.Model->counts().PrefillTokens;
     this->Result.WastedTokens += E.Model->counts().UselessTokens;
   }
-  for (const BenchTier &T : this->Result.Tiers) {
-    this->Result.GoodWork += T.GoodWork;
-  }
   this->Result.BoundWork = this->bound();
   return this->Result;
 }
--- a/tools/policy_bench.h
+++ b/tools/policy_bench.h
@@ -57,7 +57,7 @@
   uint64_t RecomputedTokens = 0; ///< Shared prefixes computed again.
   uint32_t Inversions = 0;
   double BoundWork = 0; ///< What an all-knowing scheduler could do.
-  double GoodWork = 0;
+  double GoodWork = 0;  ///< Done within the run's own seconds.
 };
 
 /// Runs one combination.
