--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -28,18 +28,17 @@
 
 struct Grant { id @0 :UInt32; target @1 :UInt32; }
 struct Refusal { id @0 :UInt32; retryMs @1 :UInt32; why @2 :UInt8; }
-struct Withdraw { id @0 :UInt32; pool @1 :UInt32; }
+struct Withdraw { id @0 :UInt32; }
 
 struct Release {
   id @0 :UInt32;
-  pool @1 :UInt32;
+  totalMs @1 :UInt32;
   firstTokenMs @2 :UInt32;
-  totalMs @3 :UInt32;
-  outputTokens @4 :UInt32;
-  result @5 :UInt8;
+  outputTokens @3 :UInt16;
+  result @4 :UInt8;
 }
 
-struct Started { id @0 :UInt32; pool @1 :UInt32; }
+struct Started { id @0 :UInt32; }
 
 struct Progress {
   pool @0 :UInt32;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -133,7 +133,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c91823c99fc7ae72, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c91823c99fc7ae72, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -890,8 +890,6 @@
 
   inline  ::uint32_t getId() const;
 
-  inline  ::uint32_t getPool() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -923,9 +921,6 @@
   inline  ::uint32_t getId();
   inline void setId( ::uint32_t value);
 
-  inline  ::uint32_t getPool();
-  inline void setPool( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -971,13 +966,11 @@
 
   inline  ::uint32_t getId() const;
 
-  inline  ::uint32_t getPool() const;
+  inline  ::uint32_t getTotalMs() const;
 
   inline  ::uint32_t getFirstTokenMs() const;
 
-  inline  ::uint32_t getTotalMs() const;
-
-  inline  ::uint32_t getOutputTokens() const;
+  inline  ::uint16_t getOutputTokens() const;
 
   inline  ::uint8_t getResult() const;
 
@@ -1012,17 +1005,14 @@
   inline  ::uint32_t getId();
   inline void setId( ::uint32_t value);
 
-  inline  ::uint32_t getPool();
-  inline void setPool( ::uint32_t value);
+  inline  ::uint32_t getTotalMs();
+  inline void setTotalMs( ::uint32_t value);
 
   inline  ::uint32_t getFirstTokenMs();
   inline void setFirstTokenMs( ::uint32_t value);
 
-  inline  ::uint32_t getTotalMs();
-  inline void setTotalMs( ::uint32_t value);
-
-  inline  ::uint32_t getOutputTokens();
-  inline void setOutputTokens( ::uint32_t value);
+  inline  ::uint16_t getOutputTokens();
+  inline void setOutputTokens( ::uint16_t value);
 
   inline  ::uint8_t getResult();
   inline void setResult( ::uint8_t value);
@@ -1072,8 +1062,6 @@
 
   inline  ::uint32_t getId() const;
 
-  inline  ::uint32_t getPool() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1105,9 +1093,6 @@
   inline  ::uint32_t getId();
   inline void setId( ::uint32_t value);
 
-  inline  ::uint32_t getPool();
-  inline void setPool( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3634,20 +3619,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Withdraw::Reader::getPool() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Withdraw::Builder::getPool() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Withdraw::Builder::setPool( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint32_t Release::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3662,16 +3633,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Release::Reader::getPool() const {
+inline  ::uint32_t Release::Reader::getTotalMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Release::Builder::getPool() {
+inline  ::uint32_t Release::Builder::getTotalMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Release::Builder::setPool( ::uint32_t value) {
+inline void Release::Builder::setTotalMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
@@ -3690,46 +3661,32 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Release::Reader::getTotalMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Release::Builder::getTotalMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Release::Builder::setTotalMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Release::Reader::getOutputTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Release::Reader::getOutputTokens() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Release::Builder::getOutputTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Release::Builder::getOutputTokens() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Release::Builder::setOutputTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Release::Builder::setOutputTokens( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint8_t Release::Reader::getResult() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint8_t Release::Builder::getResult() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 inline void Release::Builder::setResult( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Started::Reader::getId() const {
@@ -3746,20 +3703,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Started::Reader::getPool() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Started::Builder::getPool() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Started::Builder::setPool( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint32_t Progress::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -175,8 +175,7 @@
                     this->row(H).Current == G.Id &&
                     this->row(H).Target == G.Target;
     if (!Repeated) {
-      // The pool is not known any more; the owner finds the grant by its id.
-      this->Env.to(From).Withdrawals.push_back(Withdraw{G.Id, PoolId()});
+      this->Env.to(From).Withdrawals.push_back(Withdraw{G.Id});
     }
     return;
   }
@@ -228,7 +227,7 @@
   if (R.Tokens == 0) {
     R.FirstTokenAt = this->Env.Now;
     this->Env.delayed(R.Owner, StartedWait)
-        .Starts.push_back(Started{R.Current, R.Pool});
+        .Starts.push_back(Started{R.Current});
   }
   R.LastTokenAt = this->Env.Now;
   R.Tokens += Count;
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -134,13 +134,12 @@
 }
 
 void Entry::leaveQueue(Request &R) {
-  this->Env.to(R.Owner).Withdrawals.push_back(Withdraw{R.Current, R.Pool});
+  this->Env.to(R.Owner).Withdrawals.push_back(Withdraw{R.Current});
 }
 
 void Entry::sendRelease(Request &R, RunResult Result) {
   Release Out;
   Out.Id = R.Current;
-  Out.Pool = R.Pool;
   Out.Result = Result;
   Out.OutputTokens = R.Tokens;
   if (Result != RunResult::Unsent) {
--- a/src/messages_p.h
+++ b/src/messages_p.h
@@ -60,7 +60,6 @@
 /// Entry host to pool owner: the ask is withdrawn, waiting or granted.
 struct Withdraw {
   AskId Id;
-  PoolId Pool;
 };
 
 /// How a dispatch went, as far as the target is concerned.
@@ -75,7 +74,6 @@
 /// Entry host to pool owner: a granted place is free again.
 struct Release {
   AskId Id;
-  PoolId Pool;
   RunResult Result = RunResult::Done;
   Duration FirstToken{0}; ///< From dispatch; zero: there was none.
   Duration Total{0};      ///< From dispatch to the end.
@@ -85,7 +83,6 @@
 /// Entry host to pool owner: the first token came, the prompt is done.
 struct Started {
   AskId Id;
-  PoolId Pool;
 };
 
 /// Entry host to pool owner, once a second: what its streams saw.
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -85,26 +85,20 @@
                  millis(R.getRetryMs())};
 }
 
-void put(wire::Withdraw::Builder B, const Withdraw &W) {
-  B.setId(W.Id.Value);
-  B.setPool(W.Pool.Value);
-}
-Withdraw get(wire::Withdraw::Reader R) {
-  return Withdraw{AskId{R.getId()}, PoolId{R.getPool()}};
-}
+void put(wire::Withdraw::Builder B, const Withdraw &W) { B.setId(W.Id.Value); }
+Withdraw get(wire::Withdraw::Reader R) { return Withdraw{AskId{R.getId()}}; }
 
 void put(wire::Release::Builder B, const Release &L) {
   B.setId(L.Id.Value);
-  B.setPool(L.Pool.Value);
   B.setFirstTokenMs(toWireMs(L.FirstToken));
   B.setTotalMs(toWireMs(L.Total));
-  B.setOutputTokens(L.OutputTokens);
+  B.setOutputTokens(
+      static_cast<uint16_t>(std::min<uint32_t>(L.OutputTokens, 65535)));
   B.setResult(static_cast<uint8_t>(L.Result));
 }
 Release get(wire::Release::Reader R) {
   Release L;
   L.Id.Value = R.getId();
-  L.Pool.Value = R.getPool();
   L.Result = checkedEnum(R.getResult(), RunResult::Stopped);
   L.FirstToken = millis(R.getFirstTokenMs());
   L.Total = millis(R.getTotalMs());
@@ -112,13 +106,8 @@
   return L;
 }
 
-void put(wire::Started::Builder B, const Started &S) {
-  B.setId(S.Id.Value);
-  B.setPool(S.Pool.Value);
-}
-Started get(wire::Started::Reader R) {
-  return Started{AskId{R.getId()}, PoolId{R.getPool()}};
-}
+void put(wire::Started::Builder B, const Started &S) { B.setId(S.Id.Value); }
+Started get(wire::Started::Reader R) { return Started{AskId{R.getId()}}; }
 
 void put(wire::Progress::Builder B, const Progress &P) {
   B.setPool(P.Pool.Value);
--- a/src/pool_host.cpp
+++ b/src/pool_host.cpp
@@ -73,28 +73,28 @@
   this->send(Replies);
 }
 
+// Ask numbers are unique on their host, so these need not name the pool: an
+// owner has few, and the other ones do not know the number.
 void PoolHost::onWithdraw(HostId From, const Withdraw &W) {
   PoolReplies Replies;
   for (auto &Item : this->Pools) {
-    if (!W.Pool.isValid() || Item.first == W.Pool) {
-      Item.second.Decisions->withdraw(this->Env.Now, From, W.Id, Replies);
-    }
+    Item.second.Decisions->withdraw(this->Env.Now, From, W.Id, Replies);
   }
   this->send(Replies);
 }
 
 void PoolHost::onRelease(HostId From, const Release &R) {
   PoolReplies Replies;
-  if (Pool *P = this->find(R.Pool)) {
-    P->release(this->Env.Now, From, R, Replies);
+  for (auto &Item : this->Pools) {
+    Item.second.Decisions->release(this->Env.Now, From, R, Replies);
   }
   this->send(Replies);
 }
 
 void PoolHost::onStarted(HostId From, const Started &S) {
   PoolReplies Replies;
-  if (Pool *P = this->find(S.Pool)) {
-    P->started(this->Env.Now, From, S.Id, Replies);
+  for (auto &Item : this->Pools) {
+    Item.second.Decisions->started(this->Env.Now, From, S.Id, Replies);
   }
   this->send(Replies);
 }
--- a/src/run_task.cpp
+++ b/src/run_task.cpp
@@ -13,8 +13,8 @@
 void RunTask::start(const RunOrder &Order) {
   Run &R = this->Runs[Order.Request.Index];
   R = Run();
-  R.Engine = Order.Target->Type == TargetType::Engine;
-  R.RefusalProvesNotRun = Order.Target->RefusalProvesNotRun;
+  R.Form.Engine = Order.Target->Type == TargetType::Engine;
+  R.Form.RefusalProvesNotRun = Order.Target->RefusalProvesNotRun;
   HttpRequest Out;
   Out.To = parseAddress(Order.Target->Address);
   Out.Path = Order.Path;
@@ -32,7 +32,7 @@
   RequestHandle H = Order.Request;
   HttpEvents E;
   E.Sending = [this, H]() { this->Events.Sending(H); };
-  if (R.Engine) {
+  if (R.Form.Engine) {
     E.Chunk = [this, H](const std::string &Part) { this->onChunk(H, Part); };
   }
   E.Done = [this, H](const HttpResult &Result) { this->onDone(H, Result); };
@@ -65,26 +65,26 @@
 
 void RunTask::onEvent(RequestHandle Request, Run &R, const std::string &Line) {
   static const std::string Prefix = "data: ";
-  if (Line.compare(0, Prefix.size(), Prefix) != 0 || R.SawEnd) {
-    R.Broken = true;
+  if (Line.compare(0, Prefix.size(), Prefix) != 0 || R.Form.SawEnd) {
+    R.Form.Broken = true;
     return;
   }
   std::string Data = Line.substr(Prefix.size());
   if (Data == EndMarker) {
-    R.SawEnd = true;
+    R.Form.SawEnd = true;
     return;
   }
   nlohmann::json Event = nlohmann::json::parse(Data, nullptr, false);
   if (!Event.is_object() || !Event.contains("text") ||
       !Event["text"].is_string()) {
-    R.Broken = true;
+    R.Form.Broken = true;
     return;
   }
   this->Events.Token(Request, Event["text"].get<std::string>());
 }
 
 // The one place where an answer, or the lack of one, becomes a verdict.
-RunEnd RunTask::judge(const Run &R, const HttpResult &Result) {
+RunEnd judgeAnswer(const AnswerForm &Form, const HttpResult &Result) {
   RunEnd E;
   bool Refusal = Result.Status == 429 || Result.Status == 503;
   if (Result.Status == 0) {
@@ -93,13 +93,13 @@
   } else if (Refusal) {
     E.Result = RunResult::Refused;
     E.End.Result =
-        R.RefusalProvesNotRun ? Outcome::NotRun : Outcome::MayHaveRun;
+        Form.RefusalProvesNotRun ? Outcome::NotRun : Outcome::MayHaveRun;
     E.End.Why = Reason::TargetRefused;
     E.End.RetryAfter = seconds(1);
   } else if (Result.Status >= 300) {
     E.Result = RunResult::Refused;
     E.End = Verdict{Outcome::Failed, Reason::TargetError, Duration(0)};
-  } else if (!Result.Whole || (R.Engine && (!R.SawEnd || R.Broken))) {
+  } else if (!Result.Whole || (Form.Engine && (!Form.SawEnd || Form.Broken))) {
     E.Result = RunResult::Lost;
     E.End = Verdict{Outcome::MayHaveRun, Reason::Truncated, Duration(0)};
   } else {
@@ -121,7 +121,7 @@
     this->Events.Unsent(Request);
     return;
   }
-  this->Events.Ended(Request, judge(R, Result));
+  this->Events.Ended(Request, judgeAnswer(R.Form, Result));
 }
 
 void RunTask::poll(const TargetSpec &Target) {
--- a/src/run_task_p.h
+++ b/src/run_task_p.h
@@ -36,6 +36,17 @@
   std::function<void(TargetId, const TargetReport &)> Report;
 };
 
+/// What is known of an answer beyond its HTTP form.
+struct AnswerForm {
+  bool Engine = false;
+  bool RefusalProvesNotRun = false;
+  bool SawEnd = false; ///< The stream's end marker came.
+  bool Broken = false; ///< The stream was not of the agreed form.
+};
+
+/// Turns an answer, or the lack of one, into a verdict. The request was sent.
+RunEnd judgeAnswer(const AnswerForm &Form, const HttpResult &Result);
+
 class RunTask {
 public:
   RunTask(HttpClient &Client, RunEvents Events);
@@ -48,17 +59,13 @@
 private:
   struct Run {
     HttpCallHandle Call;
-    bool Engine = false;
-    bool RefusalProvesNotRun = false;
-    bool SawEnd = false;
-    bool Broken = false; ///< The stream was not of the agreed form.
+    AnswerForm Form;
     std::string Partial; ///< Of the next stream event.
   };
 
   void onChunk(RequestHandle Request, const std::string &Part);
   void onEvent(RequestHandle Request, Run &R, const std::string &Line);
   void onDone(RequestHandle Request, const HttpResult &Result);
-  static RunEnd judge(const Run &R, const HttpResult &Result);
 
   HttpClient &Client;
   RunEvents Events;
--- /dev/null
+++ b/tests/test_aims.cpp
@@ -0,0 +1,79 @@
+// The stated aims, checked on the policy bench and on measured message sizes.
+// Bounds are the aims' own. Those that are missed stand in KNOWN-RED.txt.
+#include "messages_p.h"
+#include "peer_codec_p.h"
+#include "policy_bench.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+static BenchResult overload(const char *Deployment, const char *Policy) {
+  BenchInit Init;
+  Init.Deployment = Deployment;
+  Init.Policy = Policy;
+  Init.PrefillPrice = std::string(Deployment) == "haneul" ? 3 : 1;
+  for (const Scenario &S : scenarios()) {
+    if (S.Name == "overload") {
+      Init.What = S;
+    }
+  }
+  return runBench(Init);
+}
+
+static const char *const Deployments[] = {"pauta", "haneul"};
+
+TEST_GROUP(Aims){};
+
+TEST(Aims, topTierKeeps99PercentAtOverload) {
+  for (const char *Deployment : Deployments) {
+    const BenchTier &Top = overload(Deployment, "ours").Tiers[0];
+    CHECK(Top.Offered > 100);
+    CHECK(Top.Good >= 0.99 * Top.Offered);
+  }
+}
+
+TEST(Aims, noTierInversionsAtOverload) {
+  for (const char *Deployment : Deployments) {
+    LONGS_EQUAL(0, overload(Deployment, "ours").Inversions);
+  }
+}
+
+TEST(Aims, wastesAFifthOfLeastReportedLoad) {
+  for (const char *Deployment : Deployments) {
+    BenchResult Ours = overload(Deployment, "ours");
+    BenchResult Baseline = overload(Deployment, "least-reported");
+    CHECK(Ours.WastedTokens * 5 <= Baseline.WastedTokens);
+  }
+}
+
+TEST(Aims, reaches95PercentOfTheBoundAtOverload) {
+  for (const char *Deployment : Deployments) {
+    BenchResult Ours = overload(Deployment, "ours");
+    CHECK(Ours.GoodWork >= 0.95 * Ours.BoundWork);
+  }
+}
+
+// An ask, the news of its first token, and its release, in the frames that a
+// host at the target's rate sends: the ask alone, the other two together.
+TEST(Aims, controlFromEntryToOwnerTakes64Bytes) {
+  PeerBatch Asking;
+  Ask A;
+  A.Id = AskId{123456};
+  A.Pool = poolId("region-1", "model-1");
+  A.Customer = customerId("customer-1");
+  A.PromptTokens = 700;
+  A.OutputTokens = 216;
+  A.Slack = seconds(20);
+  A.Prefix = hashPrefixes(std::string(2800, 'x'));
+  Asking.Asks.push_back(A);
+  PeerBatch Ending;
+  Ending.Starts.push_back(Started{A.Id});
+  Release R;
+  R.Id = A.Id;
+  R.FirstToken = millis(300);
+  R.Total = seconds(8);
+  R.OutputTokens = 216;
+  Ending.Releases.push_back(R);
+  CHECK(encodeFrame(Asking).size() + encodeFrame(Ending).size() <= 64);
+}
--- a/tests/test_failures.cpp
+++ b/tests/test_failures.cpp
@@ -420,6 +420,21 @@
   }
 }
 
+TEST(Failures, aDrainingHostTakesNothingNew) {
+  open();
+  F->node(0).drain();
+  Submission S;
+  S.Customer = customerId("small");
+  S.Kind = kindId("model-normal");
+  S.Deadline = seconds(5);
+  F->node(0).submit(S);
+  std::vector<Command> Commands = F->node(0).takeCommands();
+  const AnswerCommand *Answer = std::get_if<AnswerCommand>(&Commands.at(0));
+  CHECK(Answer != nullptr);
+  CHECK(Answer->End.Result == Outcome::NotRun);
+  CHECK(Answer->End.Why == Reason::ShuttingDown);
+}
+
 TEST(Failures, nothingStampedesWhenTheStoreReturns) {
   Init.Hosts = 8;
   open();
--- a/tests/test_peer_codec.cpp
+++ b/tests/test_peer_codec.cpp
@@ -95,7 +95,6 @@
   There.Asks.push_back(A);
   Release R;
   R.Id = AskId{123400};
-  R.Pool = A.Pool;
   R.FirstToken = millis(300);
   R.Total = seconds(8);
   R.OutputTokens = 300;
--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -65,12 +65,11 @@
     B.Grants.push_back(Grant{AskId{N}, targetId(std::to_string(N))});
   });
   frameSlope("started", [&](PeerBatch &B, uint32_t N) {
-    B.Starts.push_back(Started{AskId{N}, Pool});
+    B.Starts.push_back(Started{AskId{N}});
   });
   frameSlope("release", [&](PeerBatch &B, uint32_t N) {
     Release R;
     R.Id = AskId{N};
-    R.Pool = Pool;
     R.FirstToken = millis(300);
     R.Total = millis(9000);
     R.OutputTokens = 300;
