--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -1,5 +1,7 @@
 #include "policy_bench.h"
 
+#include "bench_bound.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -12,92 +14,11 @@
 static constexpr Duration ReportPeriod = millis(1000);
 static constexpr Duration OwnerGap = millis(1200);
 static constexpr Duration CrashPause = seconds(1);
-static constexpr uint32_t FullBatch = 32;
 static constexpr double SlowFactor = 10;
-// Speeds of five hardware generations.
-static const double Generations[] = {1, 1.4, 2, 2.8, 4};
-
-const std::vector<Scenario> &scenarios() {
-  static const std::vector<Scenario> All = [] {
-    std::vector<Scenario> List(8);
-    List[0].Name = "steady";
-    List[1].Name = "overload";
-    List[1].Load = 1.3;
-    List[2].Name = "burst";
-    List[2].Burst = 5;
-    List[3].Name = "month-end";
-    List[3].MonthEnd = true;
-    List[4].Name = "slow-engine";
-    List[4].SlowEngine = true;
-    List[5].Name = "stale-reports";
-    List[5].ReportLag = seconds(5);
-    List[6].Name = "engine-deaths";
-    List[6].Deaths = 6;
-    List[7].Name = "owner-death";
-    List[7].Load = 1.0;
-    List[7].OwnerDeath = true;
-    return List;
-  }();
-  return All;
-}
-
-const std::vector<std::string> &policyNames() {
-  static const std::vector<std::string> All = {
-      "round-robin", "least-reported", "power-of-two", "escrow", "ours"};
-  return All;
-}
-
-double quantileOf(std::vector<double> Values, double Share) {
-  if (Values.empty()) {
-    return 0;
-  }
-  std::sort(Values.begin(), Values.end());
-  size_t I = static_cast<size_t>(Share * static_cast<double>(Values.size()));
-  return Values[std::min(I, Values.size() - 1)];
-}
-
 namespace {
 
-/// Tier and deadline of one kind of the mixes.
-struct KindRule {
-  const char *Kind;
-  uint8_t Tier;
-  Duration Deadline;
-};
-const KindRule KindRules[] = {
-    {"ruling", 0, seconds(60)},       {"question", 1, seconds(10)},
-    {"tag-accounts", 2, seconds(20)}, {"pattern-brief", 0, seconds(60)},
-    {"reply", 1, seconds(10)},        {"tag-order", 2, seconds(20)},
-};
 const char *const TierNames[] = {"top", "middle", "low"};
 
-const KindRule &ruleOf(const std::string &Kind) {
-  for (const KindRule &R : KindRules) {
-    if (Kind == R.Kind) {
-      return R;
-    }
-  }
-  return KindRules[0];
-}
-
-EngineInit engineOf(uint32_t Index) {
-  EngineInit E;
-  double Speed = Generations[Index % 5];
-  E.PrefillTokensPerSecond = 5000 * Speed;
-  E.DecodeMs = 24 / Speed;
-  E.MaxBatch = 32;
-  return E;
-}
-
-// What the engines can have cached of a shared preamble: they remember
-// prefixes at a few depths only.
-uint32_t cacheable(uint32_t SharedTokens) {
-  std::string Text(size_t(SharedTokens) * SHALLOTLATCH_CONFIG_BYTES_PER_TOKEN,
-                   'x');
-  PrefixHashes P = hashPrefixes(Text);
-  return P.Count == 0 ? 0 : P.tokens(0);
-}
-
 struct Job {
   DrawnRequest Drawn;
   uint32_t PromptTokens = 0;
@@ -117,30 +38,6 @@
   bool Ended = false;
 };
 
-// Engine seconds at speed one. A step takes its base time, the time of its
-// prompt chunk, and a little for each token that it gives; so the sum over all
-// steps is exact but for their number.
-struct EngineWork {
-  double Prefill = 0; ///< Tokens that must be prefilled.
-  double Output = 0;  ///< Tokens given.
-
-  static constexpr double BaseStep = 0.024;
-  static constexpr double BatchSoftness = 16;
-  static constexpr double ChunkTokens = 512;
-
-  double fixedSeconds() const {
-    return this->Prefill / 5000 + this->Output * BaseStep / BatchSoftness;
-  }
-  /// Steps needed because a step takes one chunk of prompts at the most.
-  double secondsByChunks() const {
-    return this->fixedSeconds() + BaseStep * this->Prefill / ChunkTokens;
-  }
-  /// Steps needed because a step gives one token a request of a full batch.
-  double secondsByBatch() const {
-    return this->fixedSeconds() + BaseStep * this->Output / FullBatch;
-  }
-};
-
 /// One run: events in virtual time.
 class Bench {
 public:
@@ -161,9 +58,6 @@
     this->Queue.emplace(When, std::move(Event));
   }
   void makePolicy();
-  double speed() const;
-  double boundWith(double (EngineWork::*Seconds)() const) const;
-  double capacityPerSecond() const;
   void arrive();
   void add(const DrawnRequest &D);
   void apply(PoolReplies &Out);
@@ -230,7 +124,7 @@
     this->Result.Tiers.emplace_back();
     this->Result.Tiers.back().Name = Name;
   }
-  this->Rate = Init.What.Load * this->capacityPerSecond();
+  this->Rate = Init.What.Load * capacityPerSecond(this->Requests, Init.Engines);
   this->makePolicy();
 }
 
@@ -262,28 +156,6 @@
   this->Policy = std::move(Ours);
 }
 
-double Bench::capacityPerSecond() const {
-  double Shares = 0;
-  EngineWork Mean;
-  for (const MixEntry &E : this->Requests.Entries) {
-    Shares += E.Share;
-    double Unique = E.PromptTokens * std::exp(E.Spread * E.Spread / 2);
-    Mean.Prefill +=
-        E.Share * (Unique + E.SharedTokens - cacheable(E.SharedTokens));
-    Mean.Output += E.Share * E.OutputTokens;
-  }
-  double Cost = std::max(Mean.secondsByChunks(), Mean.secondsByBatch());
-  return this->speed() * Shares / Cost;
-}
-
-double Bench::speed() const {
-  double Sum = 0;
-  for (uint32_t I = 0; I < this->Init.Engines; ++I) {
-    Sum += Generations[I % 5];
-  }
-  return Sum;
-}
-
 void Bench::arrive() {
   if (this->Now >= this->Stop) {
     return;
@@ -586,40 +458,17 @@
   });
 }
 
-// The bound: all engine seconds of the run, spent without any loss on the
-// cheapest form of each request (its shared prefix always cached as far as the
-// engines can), the top tier first and within a tier the most work per second
-// first. The number of steps is bounded below twice, by chunks and by batches;
-// either bound holds, so the smaller result is taken.
 double Bench::bound() const {
-  double ByChunks = this->boundWith(&EngineWork::secondsByChunks);
-  double ByBatch = this->boundWith(&EngineWork::secondsByBatch);
-  return std::min(ByChunks, ByBatch);
-}
-
-double Bench::boundWith(double (EngineWork::*Seconds)() const) const {
-  double Left = this->speed() * toSeconds(this->Init.Length);
-  double Work = 0;
-  for (uint8_t Tier = 0; Tier < 3; ++Tier) {
-    std::vector<std::pair<double, double>> Items; // Cost per work, cost.
-    for (const Job &J : this->Jobs) {
-      if (J.Tier != Tier) {
-        continue;
-      }
-      EngineWork W;
-      W.Prefill = J.PromptTokens - J.SharedTokens;
-      W.Output = J.OutputTokens;
-      double Cost = (W.*Seconds)();
-      Items.emplace_back(Cost / (J.PromptTokens + J.OutputTokens), Cost);
-    }
-    std::sort(Items.begin(), Items.end());
-    for (const auto &Item : Items) {
-      double Spent = std::min(Left, Item.second);
-      Left -= Spent;
-      Work += Spent / Item.first;
-    }
-  }
-  return Work;
+  std::vector<BoundJob> All;
+  for (const Job &J : this->Jobs) {
+    EngineWork W;
+    W.Prefill = J.PromptTokens - J.SharedTokens;
+    W.Output = J.OutputTokens;
+    double Work = J.PromptTokens + J.OutputTokens;
+    All.push_back(BoundJob{J.Tier, Work, W});
+  }
+  return boundWork(All, fleetSpeed(this->Init.Engines) *
+                            toSeconds(this->Init.Length));
 }
 
 BenchResult Bench::run() {
