--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -61,6 +61,7 @@
   void answer(const AnswerCommand &C);
   void runEnded(RequestHandle H, RunEnd End);
   void token(RequestHandle H, const std::string &Text);
+  void noteFirstToken(RequestHandle H);
   RequestHandle submit(const CallerRequest &R);
   std::string requestId(RequestHandle H) const;
   std::vector<SloBurn> burns() const;
@@ -237,9 +238,23 @@
 void Daemon::Parts::token(RequestHandle H, const std::string &Text) {
   this->enter();
   this->Decisions.tokens(H, 1);
+  if (this->Callers.tokens(H) == 0) {
+    this->noteFirstToken(H);
+  }
   this->Callers.token(H, Text);
 }
 
+void Daemon::Parts::noteFirstToken(RequestHandle H) {
+  const CallerRequest *R = this->Callers.find(H);
+  auto Since = this->SubmittedAt.find(H.Index);
+  if (R == nullptr || Since == this->SubmittedAt.end()) {
+    return;
+  }
+  const KindSpec *Kind = this->Decisions.config()->kind(R->Sub.Kind);
+  this->Counters.firstToken(Kind == nullptr ? "unknown" : Kind->Tier,
+                            ProcessClock::now() - Since->second);
+}
+
 void Daemon::Parts::runEnded(RequestHandle H, RunEnd End) {
   this->enter();
   const CallerRequest *R = this->Callers.find(H);
--- a/tests/fleet_fake.cpp
+++ b/tests/fleet_fake.cpp
@@ -298,6 +298,8 @@
   } else if (const PollCommand *P = std::get_if<PollCommand>(&C)) {
     TargetReport Report;
     Report.Reached = true;
+    const TargetSpec *T = H.Decisions->config()->target(P->Target);
+    Report.Leaving = T != nullptr && this->LeavingTargets.count(T->Name) != 0;
     this->Hosts[Index].Decisions->report(P->Target, Report);
   } else if (const StoreRequest *R = std::get_if<StoreRequest>(&C)) {
     this->callStore(Index, *R);
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -74,6 +74,7 @@
   /// All runs of a target are lost.
   void crashTarget(const std::string &Name);
   std::set<std::string> RefusingTargets; ///< Do not accept connections.
+  std::set<std::string> LeavingTargets;  ///< Say so in their load reports.
   std::set<std::string> PoisonBodies;    ///< Crash whoever runs them.
 
   Node &node(uint32_t Host) { return *this->Hosts[Host].Decisions; }
--- /dev/null
+++ b/tests/fuzz_parsers.cpp
@@ -0,0 +1,68 @@
+// One entry point over everything that parses what others send. With libFuzzer
+// (cmake -DSHALLOTLATCH_FUZZ=ON, clang) it is driven by coverage; without, by
+// parse_corpus.cpp over the committed corpus and seeded changes to it.
+#include "caller_request_p.h"
+#include "fleet_fake.h"
+#include "key_bucket_p.h"
+#include "membership_p.h"
+#include "peer_codec_p.h"
+#include "shallotlatch/settings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+using namespace shallotlatch;
+
+static void parseCaller(const std::string &Text) {
+  static const std::shared_ptr<const Config> Conf = parseConfig(testConfig());
+  RawRequest Raw;
+  size_t Line = Text.find('\n');
+  Raw.Path = Text.substr(0, Line);
+  Raw.Body = Line == std::string::npos ? "" : Text.substr(Line + 1);
+  Raw.Headers["authorization"] = "Bearer key-of-small";
+  Raw.Headers["idempotency-key"] = Raw.Body.substr(0, 36);
+  Raw.Headers["x-deadline-ms"] = Raw.Body.substr(0, 5);
+  parseCallerRequest(*Conf, Raw);
+}
+
+// Whatever comes, a parser returns or throws its own error.
+static void parseOne(uint8_t Which, const std::string &Text) {
+  try {
+    switch (Which % 6) {
+    case 0:
+      parseConfig(Text);
+      return;
+    case 1:
+      parseSettings(Text);
+      return;
+    case 2:
+      parseHosts(Text);
+      return;
+    case 3:
+      parseKeyBucket(Text);
+      return;
+    case 4:
+      decodeFrame(Text);
+      return;
+    default:
+      parseCaller(Text);
+    }
+  } catch (const ConfigError &) {
+  } catch (const CodecError &) {
+  } catch (const CallerError &) {
+  } catch (const std::runtime_error &E) {
+    // The claim object's parser names its object.
+    if (std::string(E.what()).find("claim object") == std::string::npos) {
+      throw;
+    }
+  }
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size) {
+  if (Size > 0) {
+    parseOne(Data[0], std::string(reinterpret_cast<const char *>(Data) + 1,
+                                  Size - 1));
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/parse_corpus.cpp
@@ -0,0 +1,61 @@
+// Drives the parser fuzz target without libFuzzer: every file of the corpus,
+// and seeded changes to each. Usage: shallot-parse-corpus FOLDER [changes]
+#include <cstdint>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size);
+
+static void feed(const std::string &Text) {
+  LLVMFuzzerTestOneInput(reinterpret_cast<const uint8_t *>(Text.data()),
+                         Text.size());
+}
+
+static std::string change(std::string Text, std::mt19937_64 &Random) {
+  uint32_t Steps = 1 + Random() % 8;
+  for (uint32_t I = 0; I < Steps && Text.size() > 1; ++I) {
+    size_t At = 1 + Random() % (Text.size() - 1);
+    switch (Random() % 4) {
+    case 0:
+      Text[At] = static_cast<char>(Random());
+      break;
+    case 1:
+      Text.erase(At, 1 + Random() % 16);
+      break;
+    case 2:
+      Text.insert(At, Text.substr(Random() % Text.size(), Random() % 32));
+      break;
+    default:
+      Text.resize(At);
+    }
+  }
+  return Text;
+}
+
+int main(int Argc, char **Argv) {
+  if (Argc < 2) {
+    std::cerr << "usage: shallot-parse-corpus FOLDER [changes]\n";
+    return 2;
+  }
+  uint32_t Changes = Argc > 2 ? static_cast<uint32_t>(std::atoi(Argv[2])) : 500;
+  std::mt19937_64 Random(20261204);
+  uint32_t Files = 0;
+  for (const auto &Item : std::filesystem::directory_iterator(Argv[1])) {
+    std::ifstream In(Item.path(), std::ios::binary);
+    std::string Text((std::istreambuf_iterator<char>(In)),
+                     std::istreambuf_iterator<char>());
+    ++Files;
+    feed(Text);
+    for (uint32_t I = 0; I < Changes; ++I) {
+      feed(change(Text, Random));
+    }
+  }
+  std::cout << Files << " files, " << Changes << " changes each\n";
+  return Files > 0 ? 0 : 1;
+}
--- a/tests/test_shared.cpp
+++ b/tests/test_shared.cpp
@@ -193,3 +193,34 @@
     }
   }
 }
+
+TEST(FleetWide, aLeavingTargetGetsNothingNewAfterThreeSeconds) {
+  FleetFake F{FleetInit()};
+  F.advance(seconds(3));
+  FakeRequest R;
+  R.Kind = "model-normal";
+  R.Customer = "small";
+  auto SendFor = [&](int Steps) {
+    for (int I = 0; I < Steps; ++I) {
+      R.Body = "b" + std::to_string(I);
+      F.submit(static_cast<uint32_t>(I) % 4, R);
+      F.advance(millis(100));
+    }
+  };
+  SendFor(20);
+  F.LeavingTargets.insert("north-0");
+  Time Said = F.now();
+  SendFor(80);
+  // Its pool's owner dies: the next one knows too.
+  F.kill(2);
+  SendFor(40);
+  uint32_t Before = 0;
+  uint32_t Late = 0;
+  for (const FleetFake::RunRecord &Run : F.runs()) {
+    bool Leaving = Run.Target == "north-0";
+    Before += Leaving && Run.At <= Said ? 1 : 0;
+    Late += Leaving && Run.At > Said + seconds(3) ? 1 : 0;
+  }
+  CHECK(Before > 0);
+  LONGS_EQUAL(0, Late);
+}
--- a/tools/load_judge.cpp
+++ b/tools/load_judge.cpp
@@ -112,6 +112,17 @@
   }
 }
 
+static void addToTimeline(const LoadRecord &R, LoadResult &Out) {
+  if (R.Verdicts.back() != "completed") {
+    return;
+  }
+  size_t Second = static_cast<size_t>(toSeconds(R.EndedAt));
+  if (Out.Timeline.size() <= Second) {
+    Out.Timeline.resize(Second + 1, 0);
+  }
+  ++Out.Timeline[Second];
+}
+
 LoadResult judgeLoad(const Config &C, const Mix &M,
                      const std::vector<LoadRecord> &Records) {
   LoadResult Out;
@@ -133,6 +144,7 @@
     judgeRuns(R, Runs, Out);
     if (R.Ended) {
       addToTier(R, T);
+      addToTimeline(R, Out);
     }
   }
   for (const TierResult &T : Out.Tiers) {
@@ -177,6 +189,11 @@
   }
   Out << "prefill tokens " << R.PrefillTokens << ", of them wasted "
       << R.UselessTokens << ", cached instead " << R.CachedTokens << "\n";
+  Out << "completed in each second:";
+  for (uint32_t Count : R.Timeline) {
+    Out << " " << Count;
+  }
+  Out << "\n";
   for (const std::string &Finding : R.Findings) {
     Out << Finding << "\n";
   }
--- a/tools/load_run.cpp
+++ b/tools/load_run.cpp
@@ -229,6 +229,7 @@
   Record.Ended = true;
   Record.FirstToken = F->FirstToken;
   Record.Total = ProcessClock::now() - F->Start;
+  Record.EndedAt = ProcessClock::now() - this->Start;
   --this->Open;
   if (!this->Sending && this->Open == 0) {
     event_base_loopbreak(this->Base);
--- a/tools/load_run.h
+++ b/tools/load_run.h
@@ -38,6 +38,7 @@
   bool WrongAnswer = false;
   Duration FirstToken{0};
   Duration Total{0};
+  Duration EndedAt{0}; ///< Since the run's start.
 };
 
 class LoadRun {
