--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -92,6 +92,7 @@
   std::vector<EventPtr> Events;
   event *Flusher = nullptr;
   bool Stopping = false;
+  bool Exiting = false;
   Time StopEarliest;
   Time StopLimit;
   std::map<uint32_t, Time> SubmittedAt;
@@ -369,13 +370,14 @@
 void Daemon::Parts::tick() {
   this->enter();
   this->Decisions.tick();
-  if (!this->Stopping) {
+  if (!this->Stopping || this->Exiting) {
     return;
   }
   Time Now = ProcessClock::now();
   bool Done = this->Decisions.idle() && this->Callers.open() == 0 &&
               Now > this->StopEarliest;
   if (Done || Now > this->StopLimit) {
+    this->Exiting = true;
     LOG(INFO) << "daemon: stopped, " << this->Callers.open()
               << " requests were open";
     // One more pass lets the last answers and messages leave.
--- a/tests/fuzz_parsers.cpp
+++ b/tests/fuzz_parsers.cpp
@@ -61,8 +61,8 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size) {
   if (Size > 0) {
-    parseOne(Data[0], std::string(reinterpret_cast<const char *>(Data) + 1,
-                                  Size - 1));
+    parseOne(Data[0],
+             std::string(reinterpret_cast<const char *>(Data) + 1, Size - 1));
   }
   return 0;
 }
