--- a/tests/test_aims.cpp
+++ b/tests/test_aims.cpp
@@ -27,7 +27,7 @@
 
 TEST(Aims, topTierKeeps99PercentAtOverload) {
   for (const char *Deployment : Deployments) {
-    const BenchTier &Top = overload(Deployment, "ours").Tiers[0];
+    BenchTier Top = overload(Deployment, "ours").Tiers[0];
     CHECK(Top.Offered > 100);
     CHECK(Top.Good >= 0.99 * Top.Offered);
   }
