--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -29,4 +29,9 @@
     --customer shop --count 40000 --connections $connections
   echo "processor of host-0: $((($(cpu_ticks) - before))) ticks of 10 ms"
 done
+before=$(cpu_ticks)
+echo "streams relayed by one host, 100 requests/s for 10 s:"
+"$bin/tools/shallot-load" mix --hosts 127.0.0.1:7400 --deployment haneul \
+  --config "$work/config.json" --rate 100 --seconds 10 | grep -E 'output tokens|^load'
+echo "processor of host-0: $((($(cpu_ticks) - before))) ticks of 10 ms"
 echo "memory after: $(rss) KiB"
--- a/tests/test_aims.cpp
+++ b/tests/test_aims.cpp
@@ -8,10 +8,12 @@
 
 using namespace shallotlatch;
 
-static BenchResult overload(const char *Deployment, const char *Policy) {
+static BenchResult overload(const char *Deployment, const char *Policy,
+                            Duration Length = seconds(90)) {
   BenchInit Init;
   Init.Deployment = Deployment;
   Init.Policy = Policy;
+  Init.Length = Length;
   Init.PrefillPrice = std::string(Deployment) == "haneul" ? 3 : 1;
   for (const Scenario &S : scenarios()) {
     if (S.Name == "overload") {
@@ -47,9 +49,11 @@
   }
 }
 
+// Over 300 s: in a short run, what is in flight when it ends counts against any
+// scheduler, and the bound has no such loss.
 TEST(Aims, reaches95PercentOfTheBoundAtOverload) {
   for (const char *Deployment : Deployments) {
-    BenchResult Ours = overload(Deployment, "ours");
+    BenchResult Ours = overload(Deployment, "ours", seconds(300));
     CHECK(Ours.GoodWork >= 0.95 * Ours.BoundWork);
   }
 }
--- a/tools/load_judge.cpp
+++ b/tools/load_judge.cpp
@@ -44,6 +44,7 @@
     Out.PrefillTokens += Body["prefillTokens"].get<uint64_t>();
     Out.UselessTokens += Body["uselessTokens"].get<uint64_t>();
     Out.CachedTokens += Body["cachedTokens"].get<uint64_t>();
+    Out.OutputTokens += Body["outputTokens"].get<uint64_t>();
   }
   return All;
 }
@@ -188,7 +189,8 @@
         << quantile(T.FirstTokenMs, 0.95) << "\n";
   }
   Out << "prefill tokens " << R.PrefillTokens << ", of them wasted "
-      << R.UselessTokens << ", cached instead " << R.CachedTokens << "\n";
+      << R.UselessTokens << ", cached instead " << R.CachedTokens
+      << "; output tokens " << R.OutputTokens << "\n";
   Out << "completed in each second:";
   for (uint32_t Count : R.Timeline) {
     Out << " " << Count;
--- a/tools/load_judge.h
+++ b/tools/load_judge.h
@@ -31,6 +31,7 @@
   uint64_t PrefillTokens = 0;
   uint64_t UselessTokens = 0;
   uint64_t CachedTokens = 0;
+  uint64_t OutputTokens = 0;
   /// Completed in each second of the run.
   std::vector<uint32_t> Timeline;
   std::vector<std::string> Findings;
