Refusals of large bodies and headers are problem documents that name the limit

Cause: evhttp refused them itself with a page of HTML, and called too long headers only a bad request. evhttp's own limits are now twice the settings, and what lies between is refused by us.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstring>
 #include <stdexcept>
 
 namespace shallotlatch {
@@ -14,19 +15,22 @@
 
 HttpServer::HttpServer(event_base *Base, const ListenInit &Init,
                        HttpHandler Handler)
-    : Http(evhttp_new(Base)), Socket(nullptr), Handler(std::move(Handler)) {
+    : Http(evhttp_new(Base)), Socket(nullptr), Init(Init),
+      Handler(std::move(Handler)) {
   evhttp_set_allowed_methods(this->Http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                              EVHTTP_REQ_PUT |
                                              EVHTTP_REQ_DELETE);
-  evhttp_set_max_headers_size(this->Http, Init.MaxHeaderBytes);
-  evhttp_set_max_body_size(this->Http, Init.MaxBodyBytes);
+  // evhttp refuses what is far too large with a page of its own; what is only
+  // somewhat too large is refused here, with the limit's name.
+  evhttp_set_max_headers_size(this->Http, 2 * ev_ssize_t(Init.MaxHeaderBytes));
+  evhttp_set_max_body_size(this->Http, 2 * ev_ssize_t(Init.MaxBodyBytes));
   evhttp_set_timeout(this->Http,
                      static_cast<int>(toMillis(Init.IdleTimeout) / 1000));
   evhttp_set_default_content_type(this->Http, nullptr);
   evhttp_set_gencb(
       this->Http,
       [](evhttp_request *Request, void *Self) {
-        static_cast<HttpServer *>(Self)->Handler(Request);
+        static_cast<HttpServer *>(Self)->onRequest(Request);
       },
       this);
   this->Socket = evhttp_bind_socket_with_handle(this->Http, Init.At.Ip.c_str(),
@@ -38,6 +42,33 @@
   listen(evhttp_bound_socket_get_fd(this->Socket), IdleBacklog);
 }
 
+static size_t headerBytes(evhttp_request *Request) {
+  size_t Sum = 0;
+  evkeyvalq *List = evhttp_request_get_input_headers(Request);
+  for (evkeyval *Pair = List->tqh_first; Pair != nullptr;
+       Pair = Pair->next.tqe_next) {
+    Sum += strlen(Pair->key) + strlen(Pair->value) + 4;
+  }
+  return Sum;
+}
+
+void HttpServer::onRequest(evhttp_request *Request) {
+  size_t Body = evbuffer_get_length(evhttp_request_get_input_buffer(Request));
+  if (headerBytes(Request) > this->Init.MaxHeaderBytes) {
+    sendProblem(Request, 431, "headers too large",
+                "the headers are larger than " +
+                    std::to_string(this->Init.MaxHeaderBytes) + " bytes",
+                "");
+  } else if (Body > this->Init.MaxBodyBytes) {
+    sendProblem(Request, 413, "body too large",
+                "the body is larger than " +
+                    std::to_string(this->Init.MaxBodyBytes) + " bytes",
+                "");
+  } else {
+    this->Handler(Request);
+  }
+}
+
 HttpServer::~HttpServer() { evhttp_free(this->Http); }
 
 void HttpServer::stopAccepting() {
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -33,8 +33,11 @@
   void stopAccepting();
 
 private:
+  void onRequest(evhttp_request *Request);
+
   evhttp *Http;
   evhttp_bound_socket *Socket;
+  ListenInit Init;
   HttpHandler Handler;
 };
 
