--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -39,7 +39,7 @@
     return exchange(Request);
   }
 
-  static void answer(evhttp_request *Http) {
+  static void answer(evhttp_request * Http) {
     sendText(Http, 200, "text/plain", "served");
   }
 };
