Dead state removed, and work taken off hot paths

Found on a last read of the change: - a request for a pool of another region hashed every target of the configuration to find one speed; the pool's reference now keeps it; - every tick copied the names of all targets of all pools to pass on who is leaving; it is passed on when a note changes; - every tick worked out the median slowness, which only adaptations need; - Heartbeat.WantAll, Request.Claimed and Row.PeakInFlight were never read; - the interval between tokens was worked out in two places.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -86,10 +86,9 @@
 struct Heartbeat {
   run @0 :UInt64;
   leaving @1 :Bool;
-  wantAll @2 :Bool;
-  configVersion @3 :UInt64;
-  hostsVersion @4 :UInt64;
-  digest @5 :UInt64;
+  configVersion @2 :UInt64;
+  hostsVersion @3 :UInt64;
+  digest @4 :UInt64;
 }
 
 struct Opinion {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -2021,8 +2021,6 @@
 
   inline bool getLeaving() const;
 
-  inline bool getWantAll() const;
-
   inline  ::uint64_t getConfigVersion() const;
 
   inline  ::uint64_t getHostsVersion() const;
@@ -2063,9 +2061,6 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
-  inline bool getWantAll();
-  inline void setWantAll(bool value);
-
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
@@ -4471,20 +4466,6 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::getWantAll() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getWantAll() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setWantAll(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t Heartbeat::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/src/crash_counts.cpp
+++ b/src/crash_counts.cpp
@@ -97,6 +97,7 @@
   N.Target = Target;
   ++N.Version;
   N.Leaving = Leaving;
+  ++this->NotesEpoch;
   for (HostId Peer : this->Members.randomPeers(SpreadCount)) {
     this->Env.to(Peer).TargetNotes.push_back(N);
   }
@@ -108,6 +109,7 @@
     return;
   }
   Mine = N;
+  ++this->NotesEpoch;
   for (HostId Peer : this->Members.randomPeers(SpreadCount)) {
     this->Env.to(Peer).TargetNotes.push_back(N);
   }
--- a/src/crash_counts_p.h
+++ b/src/crash_counts_p.h
@@ -40,6 +40,8 @@
   void noteTarget(TargetId Target, bool Leaving);
   void onNote(const TargetNote &N);
   bool leaving(TargetId Target) const;
+  /// Changes whenever a note changes.
+  uint64_t notesEpoch() const { return this->NotesEpoch; }
 
   uint64_t digest() const;
   void sendAll(HostId To);
@@ -60,6 +62,7 @@
   Membership &Members;
   std::map<Fingerprint, Entry> Entries;
   std::map<TargetId, TargetNote> Notes;
+  uint64_t NotesEpoch = 0;
 };
 
 } // namespace shallotlatch
--- a/src/entry_keys.cpp
+++ b/src/entry_keys.cpp
@@ -41,7 +41,6 @@
   Request &R = this->row(H);
   switch (C.Result) {
   case ClaimResult::Granted:
-    R.Claimed = true;
     this->ask(H);
     return;
   case ClaimResult::Taken:
--- a/src/entry_p.h
+++ b/src/entry_p.h
@@ -114,7 +114,6 @@
     Submission Sub;
     TierRank Tier = 0;
     bool CrossRegion = false;
-    bool Claimed = false;
     bool Admitted = false;
     bool CallerGone = false;
     AskId First;   ///< Names the submission for its whole life.
@@ -144,6 +143,7 @@
   struct PoolRef {
     PoolId Id;
     std::string Region;
+    double PrefillTokensPerSecond = 0; ///< Of its first target.
   };
   struct OwnerState {
     HostId Owner;
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -26,7 +26,7 @@
     bool Known = std::any_of(Refs.begin(), Refs.end(),
                              [&](const PoolRef &P) { return P.Id == Id; });
     if (!Known) {
-      Refs.push_back(PoolRef{Id, T.Region});
+      Refs.push_back(PoolRef{Id, T.Region, T.PrefillTokensPerSecond});
     }
   }
 }
@@ -58,15 +58,8 @@
   std::array<PrefixMatch, 8> Matches;
   uint32_t Found =
       this->RegionPrefixes.match(R.Sub.Prefix, this->Env.Now, Matches);
-  const TargetSpec *Target = nullptr;
-  for (const TargetSpec &T : this->Env.Conf->Targets) {
-    if (poolId(T.Region, T.Group) == P.Id) {
-      Target = &T;
-      break;
-    }
-  }
-  if (Found > 0 && Target != nullptr) {
-    Cost += Matches[0].Tokens * 1000.0 / Target->PrefillTokensPerSecond *
+  if (Found > 0) {
+    Cost += Matches[0].Tokens * 1000.0 / P.PrefillTokensPerSecond *
             Policy.PrefillPrice;
   }
   return Cost;
@@ -308,10 +301,9 @@
   this->Env.to(O.Owner).HoldLists.push_back(std::move(L));
 }
 
-// Interval between tokens that a target's streams saw, in microseconds.
-static double intervalOf(const Progress &P) {
-  return static_cast<double>(P.StreamTime.count()) /
-         std::max<double>(P.Tokens, 0.5);
+double Progress::intervalUs() const {
+  return static_cast<double>(this->StreamTime.count()) /
+         std::max<double>(this->Tokens, 0.5);
 }
 
 // Only what stands out is reported: releases tell the owner of all others. A
@@ -324,7 +316,7 @@
   size_t Middle = (PoolIntervals.size() - 1) / 2;
   std::nth_element(PoolIntervals.begin(), PoolIntervals.begin() + Middle,
                    PoolIntervals.end());
-  return intervalOf(P) > ReportFactor * PoolIntervals[Middle];
+  return P.intervalUs() > ReportFactor * PoolIntervals[Middle];
 }
 
 void Entry::sendProgress() {
@@ -348,7 +340,7 @@
   }
   std::map<PoolId, std::vector<double>> Intervals;
   for (const auto &Item : Sums) {
-    Intervals[Item.first.first].push_back(intervalOf(Item.second.second));
+    Intervals[Item.first.first].push_back(Item.second.second.intervalUs());
   }
   for (const auto &Item : Sums) {
     const Progress &P = Item.second.second;
--- a/src/messages_p.h
+++ b/src/messages_p.h
@@ -92,6 +92,8 @@
   uint32_t Tokens = 0;    ///< Received since the last report.
   Duration StreamTime{0}; ///< Summed over streams that are past first token.
   uint32_t Stalled = 0;   ///< Streams with no token for the whole period.
+  /// Time between tokens that the streams saw, in microseconds.
+  double intervalUs() const;
 };
 
 /// One granted ask in flight.
@@ -206,8 +208,7 @@
   Incarnation Run;
   bool Leaving = false;
   std::array<Version, DocumentCount> Versions;
-  uint64_t Digest = 0;  ///< Over opinions, crash counts and target notes.
-  bool WantAll = false; ///< The digests differ: send everything.
+  uint64_t Digest = 0; ///< Over opinions, crash counts and target notes.
 };
 
 /// One host's count of crashes for a fingerprint, in half crashes. Merged by
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -146,7 +146,7 @@
     this->Members.onHeartbeat(From, H);
     this->Copies.onVersions(From, H.Versions);
     uint64_t Mine = this->Members.digest() + this->Shared.digest();
-    if (H.WantAll || (H.Digest != 0 && H.Digest != Mine)) {
+    if (H.Digest != 0 && H.Digest != Mine) {
       this->Members.sendAll(From);
       this->Shared.sendAll(From);
     }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -251,7 +251,6 @@
 void put(wire::Heartbeat::Builder B, const Heartbeat &H) {
   B.setRun(H.Run.Value);
   B.setLeaving(H.Leaving);
-  B.setWantAll(H.WantAll);
   B.setConfigVersion(H.Versions[0].Value);
   B.setHostsVersion(H.Versions[1].Value);
   B.setDigest(H.Digest);
@@ -260,7 +259,6 @@
   Heartbeat H;
   H.Run.Value = R.getRun();
   H.Leaving = R.getLeaving();
-  H.WantAll = R.getWantAll();
   H.Versions = {Version{R.getConfigVersion()}, Version{R.getHostsVersion()}};
   H.Digest = R.getDigest();
   return H;
--- a/src/pool_host.cpp
+++ b/src/pool_host.cpp
@@ -155,6 +155,17 @@
   }
 }
 
+// A pool that opens reads the notes itself; here is what changed since.
+void PoolHost::applyNotes() {
+  this->SeenNotes = this->Shared.notesEpoch();
+  for (auto &Item : this->Pools) {
+    Pool &P = *Item.second.Decisions;
+    for (const TargetStats &T : P.targets()) {
+      P.setLeaving(T.Id, this->Shared.leaving(T.Id));
+    }
+  }
+}
+
 void PoolHost::tick() {
   if (!this->Env.Conf) {
     return;
@@ -162,12 +173,12 @@
   if (this->Env.Now >= this->NextPoll) {
     this->poll();
   }
+  if (this->SeenNotes != this->Shared.notesEpoch()) {
+    this->applyNotes();
+  }
   PoolReplies Replies;
   for (auto It = this->Pools.begin(); It != this->Pools.end();) {
     Pool &P = *It->second.Decisions;
-    for (const TargetStats &T : P.targets()) {
-      P.setLeaving(T.Id, this->Shared.leaving(T.Id));
-    }
     P.tick(this->Env.Now, Replies);
     bool Idle = this->Env.Now - It->second.LastAsk > PoolIdleTime &&
                 P.stats().InFlight == 0 && P.stats().Waiting == 0;
--- a/src/pool_host_p.h
+++ b/src/pool_host_p.h
@@ -50,12 +50,14 @@
   void configure(PoolId Id, Pool &P);
   void send(PoolReplies &Replies);
   void poll();
+  void applyNotes();
 
   NodeEnv &Env;
   Membership &Members;
   CrashCounts &Shared;
   std::map<PoolId, Owned> Pools;
   Time NextPoll;
+  uint64_t SeenNotes = 0; ///< Epoch of the notes that the pools know.
 };
 
 } // namespace shallotlatch
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -232,7 +232,6 @@
                         Time Now) {
   Row &R = this->Rows[P.Target.Index];
   ++R.InFlight;
-  R.PeakInFlight = std::max(R.PeakInFlight, R.InFlight);
   if (!R.Service) {
     R.PendingPrefillUs += P.PrefillUs;
     R.HadPrefill = true;
@@ -360,7 +359,6 @@
     R.SlowReports = 0;
     R.Slowness = 1;
   }
-  R.PeakInFlight = R.InFlight;
   R.HadPrefill = R.PendingPrefillUs > 0;
   R.WindowTokens = 0;
   R.WindowUs = 0;
@@ -369,10 +367,15 @@
 }
 
 void TargetTable::tick(Time Now) {
-  double MedianSlowness = this->medianSlowness();
+  auto Due = [&](const Row &R) {
+    return !R.Service && Now - R.WindowStart >= AdaptPeriod;
+  };
+  // Ticks are many, adaptations few: only these need the median.
+  bool AnyDue = std::any_of(this->Rows.begin(), this->Rows.end(), Due);
+  double MedianSlowness = AnyDue ? this->medianSlowness() : 1;
   for (uint32_t I = 0; I < this->Rows.size(); ++I) {
     Row &R = this->Rows[I];
-    if (!R.Service && Now - R.WindowStart >= AdaptPeriod) {
+    if (Due(R)) {
       this->adapt(R, MedianSlowness, Now);
     }
     if (R.Limit == 0 && Now >= R.EjectedUntil) {
--- a/src/target_table_p.h
+++ b/src/target_table_p.h
@@ -91,7 +91,6 @@
     uint32_t Slots = 1;
     uint32_t Limit = 1;
     uint32_t InFlight = 0;
-    uint32_t PeakInFlight = 0;   ///< Since the last adaptation.
     double DecodeUs = 0;         ///< Per token, at the current batch.
     double BestDecodeUs = 0;     ///< Per token, in good times.
     double PrefillUs = 0;        ///< Per token.
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -389,11 +389,6 @@
   this->at(this->Now + ReportPeriod, [this]() { this->report(); });
 }
 
-static double intervalOf(const Progress &P) {
-  return static_cast<double>(P.StreamTime.count()) /
-         std::max<double>(P.Tokens, 0.5);
-}
-
 void Bench::progress() {
   std::map<int, Progress> Sums;
   for (uint32_t Id : this->Open) {
@@ -410,12 +405,12 @@
   }
   std::vector<double> Intervals;
   for (const auto &Item : Sums) {
-    Intervals.push_back(intervalOf(Item.second));
+    Intervals.push_back(Item.second.intervalUs());
   }
   for (const auto &Item : Sums) {
     // As entry hosts do: only what stands out is reported.
     bool Slow = Item.second.Stalled > 0 ||
-                intervalOf(Item.second) > 2 * quantileOf(Intervals, 0.49);
+                Item.second.intervalUs() > 2 * quantileOf(Intervals, 0.49);
     if (Slow) {
       this->Policy->observe(this->Now, Item.second);
     }
