Long watches; the configuration confirmed by short calls whose result peers pass on

Watches now wait 10 s, changes come in batches, and one host's short call confirms the configuration for its peers.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -7,13 +7,19 @@
 
 namespace shallotlatch {
 
-// How long a watch waits at the store. Together with CallMargin this bounds
-// the age at which a silent connection is noticed; a revoked key must be
-// refused within a few seconds, so the configuration's is the shortest.
-static constexpr Duration WatchWait[DirectoryKinds] = {
-    millis(900), millis(1500), millis(4000)};
+// How long a watch waits at the store. Each wait is a priced call, so waits are
+// long; a connection that went silent is found by its keep-alive probes.
+static constexpr Duration WatchWait = seconds(10);
 // An answer this late after its wait is given up, and the connection with it.
 static constexpr Duration CallMargin = millis(900);
+// Pause before the next watch, so that changes in quick succession come
+// together. The configuration has none: its bounds are the tightest.
+static constexpr Duration WatchPause[DirectoryKinds] = {millis(0), millis(60),
+                                                        millis(1000)};
+// Age of the configuration from which this host asks the store itself. Hosts
+// differ, so that one asks and the others hear of it from that one.
+static constexpr Duration ConfirmAge = millis(1100);
+static constexpr Duration ConfirmSpread = millis(600);
 // First pause after a failed call; doubles up to the longest.
 static constexpr Duration FirstPause = millis(100);
 static constexpr Duration LongestPause = millis(800);
@@ -76,7 +82,7 @@
   if (F.Listing) {
     this->Store.list(Kind, F.After, Done);
   } else {
-    this->Store.watch(Kind, F.At, WatchWait[index(Kind)], Done);
+    this->Store.watch(Kind, F.At, WatchWait, Done);
   }
 }
 
@@ -85,8 +91,7 @@
   for (size_t I = 0; I < DirectoryKinds; ++I) {
     DirectoryKind Kind = static_cast<DirectoryKind>(I);
     Feed &F = this->Feeds[I];
-    Duration Limit =
-        (F.Listing ? Duration(0) : WatchWait[I]) + CallMargin;
+    Duration Limit = (F.Listing ? Duration(0) : WatchWait) + CallMargin;
     if (F.Waiting && At - F.AskedAt > Limit) {
       DirectoryReply Late;
       this->replied(Kind, F.Call, std::move(Late));
@@ -105,11 +110,88 @@
       this->remove(Kind, Name);
     }
   }
+  this->confirm(At);
   if (!this->Announced && !this->Announcing && At >= this->AnnounceAt) {
     this->announce(At);
   }
 }
 
+// A waiting watch says nothing about the present, so the configuration's age
+// is kept low by short calls; peers pass their result on.
+void Directory::confirm(Time At) {
+  Feed &F = this->feed(DirectoryKind::Config);
+  if (F.Confirming) {
+    if (At - F.ConfirmAskedAt > CallMargin) {
+      F.Confirming = false;
+      this->failed();
+    }
+    return;
+  }
+  Duration Spread(static_cast<int64_t>(
+      hashPair(this->Seed, F.Confirmed.time_since_epoch().count()) %
+      static_cast<uint64_t>(ConfirmSpread.count())));
+  if (!F.Known || F.Listing || !this->Reachable ||
+      At - F.Confirmed < ConfirmAge + Spread) {
+    return;
+  }
+  F.Confirming = true;
+  F.ConfirmAskedAt = At;
+  Time AskedAt = At;
+  uint64_t From = F.At;
+  this->Store.watch(DirectoryKind::Config, From, Duration(0),
+                    [this, AskedAt, From](DirectoryReply &&Reply) {
+                      Feed &Own = this->feed(DirectoryKind::Config);
+                      if (Own.Confirming && Own.ConfirmAskedAt == AskedAt) {
+                        Own.Confirming = false;
+                        this->confirmed(From, std::move(Reply));
+                      }
+                    });
+}
+
+void Directory::confirmed(uint64_t From, DirectoryReply &&Reply) {
+  Feed &F = this->feed(DirectoryKind::Config);
+  if (Reply.Result != DirectoryReply::Status::Ok) {
+    if (Reply.Result == DirectoryReply::Status::HistoryGone) {
+      this->restart(F);
+    } else {
+      this->failed();
+    }
+    return;
+  }
+  for (const DirectoryObject &Object : Reply.Objects) {
+    this->apply(DirectoryKind::Config, Object);
+  }
+  if (From == F.At || !Reply.Objects.empty()) {
+    F.Confirmed = std::max(F.Confirmed, F.ConfirmAskedAt);
+  }
+}
+
+// Begins anew with a list; an answer to the call that is out is dropped.
+void Directory::restart(Feed &F) {
+  F.Waiting = false;
+  ++F.Call;
+  F.Listing = true;
+  F.After.clear();
+  F.Listed.clear();
+  F.NextCall = this->Now;
+}
+
+// Calls that wait at a store that fell silent may never be answered, so all
+// kinds are listed again once it answers.
+void Directory::failed() {
+  if (!this->Reachable) {
+    return;
+  }
+  this->Reachable = false;
+  this->FailingSince = this->Now;
+  this->Events.onStore(false);
+  for (Feed &F : this->Feeds) {
+    if (!F.Waiting || !F.Listing) {
+      this->restart(F);
+    }
+  }
+}
+
 void Directory::announce(Time) {
   this->Announcing = true;
   this->Store.announce(this->Self, [this](DirectoryReply &&Reply) {
@@ -136,18 +218,14 @@
   F.Waiting = false;
   if (Reply.Result == DirectoryReply::Status::HistoryGone) {
     logBelief("watch-history-gone", {{"kind", name(Kind)}, {"from", F.At}});
-    F.Listing = true;
-    F.After.clear();
-    F.Listed.clear();
-    F.NextCall = this->Now;
+    this->restart(F);
     this->call(Kind, this->Now);
     return;
   }
   if (Reply.Result != DirectoryReply::Status::Ok) {
-    if (this->Reachable) {
-      this->Reachable = false;
-      this->FailingSince = this->Now;
-      this->Events.onStore(false);
+    // A watch may be cut off; only a call that asks anew tells of the store.
+    if (F.Listing || F.Failures > 0) {
+      this->failed();
     }
     // The pause is spread by host, so that an outage's end meets no crowd.
     Duration Pause = std::min(LongestPause,
@@ -183,8 +261,10 @@
   }
   F.Confirmed = std::max(F.Confirmed, F.AskedAt);
   F.Failures = 0;
-  F.NextCall = this->Now;
-  this->call(Kind, this->Now);
+  F.NextCall = this->Now + WatchPause[index(Kind)];
+  if (F.NextCall <= this->Now) {
+    this->call(Kind, this->Now);
+  }
 }
 
 void Directory::reached() {
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -105,6 +105,8 @@
     uint64_t At = 0;       ///< Watch from here.
     uint64_t Revision = 0; ///< Of the newest object that was applied.
     Time AskedAt;
+    bool Confirming = false; ///< A short call checks that nothing changed.
+    Time ConfirmAskedAt;
     Time Confirmed{Duration::min()};
     Time NextCall;
     std::string After;
@@ -119,6 +121,10 @@
   Feed &feed(DirectoryKind Kind) { return this->Feeds[index(Kind)]; }
   void call(DirectoryKind Kind, Time Now);
   void replied(DirectoryKind Kind, uint32_t Call, DirectoryReply &&Reply);
+  void confirm(Time Now);
+  void confirmed(uint64_t From, DirectoryReply &&Reply);
+  void failed();
+  void restart(Feed &F);
   void apply(DirectoryKind Kind, const DirectoryObject &Object);
   void unlist(DirectoryKind Kind, const std::string &Name);
   void remove(DirectoryKind Kind, const std::string &Name);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -24,8 +24,14 @@
 static constexpr Duration TickInterval = millis(20);
 // Peers in other domains are told this often: their bytes have a price.
 static constexpr Duration RemoteInterval = millis(120);
+// The number of peers up to which these intervals hold; with more peers they
+// grow in proportion, so that a host's datagrams a second stay bounded.
+static constexpr uint32_t NearPeers = 4;
+static constexpr uint32_t RemotePeers = 8;
 // An unchanged state is repeated this often.
 static constexpr Duration RepeatInterval = millis(400);
+// Peers' silence is examined this often.
+static constexpr Duration WeighInterval = millis(200);
 // A peer that was not heard for this long cannot be counted on.
 static constexpr Duration PeerSilence = millis(1200);
 // A silent peer may still be serving, cut off, for this long: after it, its
@@ -72,7 +78,11 @@
   std::unique_ptr<HttpServer> ReadyServer;
   std::vector<event *> Watches;
   uint32_t Sequence = 0;
+  Time NextNear;
   Time NextRemote;
+  Time NextWeigh;
+  uint32_t Near = 0;   ///< Peers of the own failure domain.
+  uint32_t Remote = 0; ///< All other peers.
   Time NextRepeat;
   Time NextSettings;
   Time StopAt;
@@ -225,6 +235,10 @@
   }
 
   void tell(Time Now) {
+    if (Now < this->NextNear && Now < this->NextRemote &&
+        Now < this->NextRepeat) {
+      return;
+    }
     FleetState State;
     State.Host = hostId(this->Self.Name);
     State.Run = this->Self.Run;
@@ -245,15 +259,17 @@
     }
     bool Repeat = Now >= this->NextRepeat;
     bool Changed = Use != this->LastUse;
-    if (Changed || Repeat) {
+    if ((Changed && Now >= this->NextNear) || Repeat) {
       this->LastUse = Use;
       State.Sequence = ++this->Sequence;
       this->Link->send(State, true);
+      this->NextNear = Now + TickInterval * (this->Near / NearPeers);
     }
-    if (Now >= this->NextRemote || Repeat) {
+    if (Now >= this->NextRemote) {
       State.Sequence = ++this->Sequence;
       this->Link->send(State, false);
-      this->NextRemote = Now + RemoteInterval;
+      this->NextRemote =
+          Now + RemoteInterval * std::max(1U, this->Remote / RemotePeers);
     }
     if (Repeat) {
       this->NextRepeat = Now + RepeatInterval;
@@ -265,9 +281,13 @@
   void weighPeers(Time Now) {
     uint32_t Hosts = 1;
     uint32_t Heard = 1;
+    this->Near = 0;
+    this->Remote = 0;
     std::vector<std::string> Gone;
     for (const auto &Item : this->Link->peers()) {
       const FleetPeer &P = Item.second;
+      this->Near += P.SameDomain ? 1 : 0;
+      this->Remote += P.SameDomain ? 0 : 1;
       Duration Silent = Now - std::max(P.Heard, P.Known);
       if (Now - P.Heard < PeerSilence) {
         ++Hosts;
@@ -294,7 +314,10 @@
     Time Now = ProcessClock::now();
     this->Beliefs->tick(bootTime());
     this->Relays->tick();
-    this->weighPeers(Now);
+    if (Now >= this->NextWeigh) {
+      this->NextWeigh = Now + WeighInterval;
+      this->weighPeers(Now);
+    }
     this->tell(Now);
     bool Trusted = this->Beliefs->age(DirectoryKind::Config, bootTime()) <
                    this->Host.RevocationLimit / 2;
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -39,20 +39,26 @@
 }
 
 void PlacePool::setTarget(const TargetEntry &Entry, Time) {
+  bool New = this->Targets.count(Entry.Instance) == 0;
   Target &T = this->Targets[Entry.Instance];
   if (T.Entry.BornMs != Entry.BornMs || !(T.Entry.At.text() == Entry.At.text())) {
-    uint32_t Own = T.Own;
-    double OwnPrompt = T.OwnPrompt;
-    T = Target();
-    T.Own = Own;
-    T.OwnPrompt = OwnPrompt;
+    Target Fresh;
+    Fresh.Own = T.Own;
+    Fresh.OwnPrompt = T.OwnPrompt;
+    Fresh.Peers = T.Peers;
+    Fresh.PeerPrompt = T.PeerPrompt;
+    T = Fresh;
   }
   T.Entry = Entry;
-  this->sumPeers();
+  if (New) {
+    this->sumPeers();
+  }
 }
 
 void PlacePool::removeTarget(const std::string &Instance) {
-  this->Targets.erase(Instance);
+  if (this->Targets.erase(Instance) != 0) {
+    this->sumPeers();
+  }
 }
 
 Duration PlacePool::unitTime(const PlaceAsk &Ask) const {
@@ -230,32 +236,43 @@
   this->note(T, Sign, Now);
 }
 
+void PlacePool::addUses(const std::vector<TargetUse> &Uses, int Sign) {
+  for (const TargetUse &U : Uses) {
+    auto It = this->ByHash.find(U.Target);
+    if (It != this->ByHash.end()) {
+      Target &T = *It->second;
+      T.Peers += static_cast<uint32_t>(Sign) * U.Running;
+      T.PeerPrompt += Sign * static_cast<double>(U.PromptTokens);
+    }
+  }
+}
+
 void PlacePool::peerUse(HostId Peer, const std::vector<TargetUse> &Uses,
                         Time) {
-  this->PeerUses[Peer] = Uses;
-  this->sumPeers();
+  std::vector<TargetUse> &Known = this->PeerUses[Peer];
+  this->addUses(Known, -1);
+  Known = Uses;
+  this->addUses(Known, 1);
 }
 
 void PlacePool::forgetPeer(HostId Peer) {
-  this->PeerUses.erase(Peer);
-  this->sumPeers();
+  auto It = this->PeerUses.find(Peer);
+  if (It != this->PeerUses.end()) {
+    this->addUses(It->second, -1);
+    this->PeerUses.erase(It);
+  }
 }
 
+// Needed only when the set of targets changes.
 void PlacePool::sumPeers() {
-  std::unordered_map<uint32_t, Target *> ByHash;
+  this->ByHash.clear();
   for (auto &Item : this->Targets) {
     Item.second.Peers = 0;
     Item.second.PeerPrompt = 0;
-    ByHash[targetHash(Item.first)] = &Item.second;
+    this->ByHash[targetHash(Item.first)] = &Item.second;
   }
   for (const auto &Peer : this->PeerUses) {
-    for (const TargetUse &U : Peer.second) {
-      auto It = ByHash.find(U.Target);
-      if (It != ByHash.end()) {
-        It->second->Peers += U.Running;
-        It->second->PeerPrompt += U.PromptTokens;
-      }
-    }
+    this->addUses(Peer.second, 1);
   }
 }
 
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -133,6 +133,7 @@
   Choice choose(const PlaceAsk &Ask, Time Now);
   Duration unitTime(const PlaceAsk &Ask) const;
   void sumPeers();
+  void addUses(const std::vector<TargetUse> &Uses, int Sign);
   void note(Target &T, RunSign Sign, Time Now);
   Duration returnTime(const PlaceAsk &Ask) const;
 
@@ -143,6 +144,7 @@
   std::unordered_map<RunId, Order> Places;
   std::unordered_map<RunId, Running> Runs;
   std::map<HostId, std::vector<TargetUse>> PeerUses;
+  std::unordered_map<uint32_t, Target *> ByHash;
   uint64_t NextSerial = 1;
 };
 
