--- a/include/shallotlatch/gateway.h
+++ b/include/shallotlatch/gateway.h
@@ -23,8 +23,8 @@
   std::string Region;
   Address Caller;
   Address Ready;
-  Address Peer;  ///< Datagrams between hosts.
-  Address Store; ///< The platform's metadata store.
+  Address Peer;             ///< Datagrams between hosts.
+  Address Store;            ///< The platform's metadata store.
   uint32_t MetricsPort = 0; ///< Zero: no metrics.
   /// Refuse a key once its confirmation may be this old.
   Duration RevocationLimit = seconds(5);
@@ -33,6 +33,8 @@
   double RetryRatio = 0.2;
   double RetryExtra = 10;
   Duration RetryWindow = seconds(10);
+  double QuotaOverage = 0;   ///< Tolerated share beyond a quota.
+  double QuotaTolerance = 0; ///< Tolerated amount beyond a quota.
   uint32_t MemoryMb = 256;
   uint32_t Descriptors = 1024;
 };
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -59,9 +59,8 @@
 
 Duration Directory::age(DirectoryKind Kind, Time At) const {
   const Feed &F = this->Feeds[index(Kind)];
-  return F.Confirmed.time_since_epoch() == Duration::min()
-             ? Duration::max()
-             : At - F.Confirmed;
+  return F.Confirmed.time_since_epoch() == Duration::min() ? Duration::max()
+                                                           : At - F.Confirmed;
 }
 
 void Directory::peerConfirms(uint64_t ConfigRevision, Duration Age, Time At) {
@@ -203,9 +202,9 @@
 
 void Directory::forgetHost(const std::string &Name) {
   this->Store.forget(Name, [Name](DirectoryReply &&Reply) {
-    logBelief("host-entry-removed",
-              {{"name", Name},
-               {"done", Reply.Result == DirectoryReply::Status::Ok}});
+    logBelief(
+        "host-entry-removed",
+        {{"name", Name}, {"done", Reply.Result == DirectoryReply::Status::Ok}});
   });
 }
 
@@ -228,8 +227,8 @@
       this->failed();
     }
     // The pause is spread by host, so that an outage's end meets no crowd.
-    Duration Pause = std::min(LongestPause,
-                              FirstPause * (1 << std::min(F.Failures, 6U)));
+    Duration Pause =
+        std::min(LongestPause, FirstPause * (1 << std::min(F.Failures, 6U)));
     uint64_t Spread =
         hashPair(this->Seed, F.Call) % static_cast<uint64_t>(Pause.count());
     F.NextCall = this->Now + Pause / 2 + Duration(Spread / 2);
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -112,12 +112,10 @@
     std::string After;
     std::set<std::string> Listed;
     std::map<std::string, uint64_t> Objects; ///< Revision by name.
-    std::map<std::string, Time> Missing; ///< Unlisted after an outage.
+    std::map<std::string, Time> Missing;     ///< Unlisted after an outage.
   };
 
-  static size_t index(DirectoryKind Kind) {
-    return static_cast<size_t>(Kind);
-  }
+  static size_t index(DirectoryKind Kind) { return static_cast<size_t>(Kind); }
   Feed &feed(DirectoryKind Kind) { return this->Feeds[index(Kind)]; }
   void call(DirectoryKind Kind, Time Now);
   void replied(DirectoryKind Kind, uint32_t Call, DirectoryReply &&Reply);
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -72,12 +72,12 @@
   void send(google::LogSeverity Severity, const char *, const char *File,
             int Line, const google::LogMessageTime &, const char *Message,
             size_t Length) override {
-    this->append("glog",
-                 LogFields{{"severity", google::GetLogSeverityName(Severity)},
-                           {"at", std::string(File) + ":" +
-                                      std::to_string(Line)},
-                           {"text", std::string(Message, Length)}},
-                 LogWeight::Belief);
+    this->append(
+        "glog",
+        LogFields{{"severity", google::GetLogSeverityName(Severity)},
+                  {"at", std::string(File) + ":" + std::to_string(Line)},
+                  {"text", std::string(Message, Length)}},
+        LogWeight::Belief);
   }
 
   LogStats Counts;
--- a/src/fleet_link.cpp
+++ b/src/fleet_link.cpp
@@ -82,8 +82,7 @@
     S.ConfigRevision = R.getConfigRevision();
     S.ConfigAge = millis(R.getConfigAgeMs());
     for (fleetwire::TargetUse::Reader T : R.getTargets()) {
-      S.Targets.push_back(
-          {T.getTarget(), T.getRunning(), T.getPromptTokens()});
+      S.Targets.push_back({T.getTarget(), T.getRunning(), T.getPromptTokens()});
     }
     for (fleetwire::CustomerUse::Reader C : R.getCustomers()) {
       S.Customers.push_back({CustomerId{C.getCustomer()}, C.getAdmitted()});
@@ -162,8 +161,8 @@
       return;
     }
     FleetState State;
-    if (!decodeFleetState(
-            std::string_view(Buffer, static_cast<size_t>(Got)), State)) {
+    if (!decodeFleetState(std::string_view(Buffer, static_cast<size_t>(Got)),
+                          State)) {
       ++L.Counts.Rejected;
       logBelief("peer-message-unreadable", {{"bytes", Got}});
       continue;
--- a/src/fleet_link_p.h
+++ b/src/fleet_link_p.h
@@ -43,8 +43,8 @@
   FleetHost Host;
   HostId Id;
   bool SameDomain = false;
-  Time Known;  ///< When its entry was read.
-  Time Heard;  ///< Last datagram; the epoch: never.
+  Time Known; ///< When its entry was read.
+  Time Heard; ///< Last datagram; the epoch: never.
   uint64_t Run = 0;
   uint32_t Sequence = 0;
   bool Leaving = false;
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -28,7 +28,8 @@
 void FleetQuota::refill(Bucket &B, Time Now) const {
   double Passed = toSeconds(Now - B.Refilled);
   B.Refilled = Now;
-  B.Level = std::min(B.Burst, B.Level + B.Rate * this->Share * Passed);
+  B.Level = std::min(B.Burst, B.Level + B.Rate * (1 + this->Slack.RateShare) *
+                                            this->Share * Passed);
 }
 
 double FleetQuota::amount(const FrontCustomer &Customer, bool HasTokens,
@@ -48,13 +49,14 @@
   Bucket &B = It->second;
   this->refill(B, Now);
   // A request larger than the burst needs a full bucket and leaves a debt.
-  if (B.Level < std::min(Amount, B.Burst)) {
-    double Missing = std::min(Amount, B.Burst) - B.Level;
+  double Overdraft =
+      this->Slack.Overdraft * (B.Burst > this->Slack.Overdraft ? 1 : 0);
+  double Missing = std::min(Amount, B.Burst) - B.Level - Overdraft;
+  if (Missing > 0) {
     double Seconds = Missing / (B.Rate * std::max(0.05, this->Share));
     Answer.Admitted = false;
-    Answer.RetryAfter =
-        std::clamp(Duration(static_cast<int64_t>(Seconds * 1e6)), MinReturn,
-                   MaxReturn);
+    Answer.RetryAfter = std::clamp(
+        Duration(static_cast<int64_t>(Seconds * 1e6)), MinReturn, MaxReturn);
     return Answer;
   }
   B.Level -= Amount;
--- a/src/fleet_quota_p.h
+++ b/src/fleet_quota_p.h
@@ -23,14 +23,21 @@
   Duration RetryAfter{0};
 };
 
+/// What may be admitted beyond a quota: the operators tolerate a little, since
+/// no host knows at once what the others admit.
+struct QuotaSlack {
+  double RateShare = 0; ///< Of the rate.
+  double Overdraft = 0; ///< Below an empty bucket.
+};
+
 class FleetQuota {
 public:
+  explicit FleetQuota(const QuotaSlack &Slack) : Slack(Slack) {}
   void configure(const RoutingConfig &Config, Time Now);
   QuotaAnswer admit(CustomerId Customer, double Amount, Time Now);
   /// Gives back what was taken for a request that never ran.
   void refund(CustomerId Customer, double Amount);
-  void peerUse(HostId Peer, uint64_t Run,
-               const std::vector<CustomerUse> &Uses);
+  void peerUse(HostId Peer, uint64_t Run, const std::vector<CustomerUse> &Uses);
   /// Part of the rate that this host may count on: less what peers that
   /// cannot be heard may be using.
   void setShare(double Share) { this->Share = Share; }
@@ -53,6 +60,7 @@
   };
   void refill(Bucket &B, Time Now) const;
 
+  QuotaSlack Slack;
   std::unordered_map<CustomerId, Bucket> Buckets;
   std::map<HostId, PeerCount> Peers;
   double Share = 1;
--- a/src/front_task.cpp
+++ b/src/front_task.cpp
@@ -54,9 +54,8 @@
 
   bool onHead(HttpHead &Head) override {
     const std::string *Length = Head.find("content-length");
-    if (Length != nullptr &&
-        strtoull(Length->c_str(), nullptr, 10) >
-            this->Owner.Limits.MaxBodyBytes) {
+    if (Length != nullptr && strtoull(Length->c_str(), nullptr, 10) >
+                                 this->Owner.Limits.MaxBodyBytes) {
       this->RefuseStatus = 413;
       return false;
     }
@@ -137,8 +136,8 @@
                          void *Self) {
   FrontTask &T = *static_cast<FrontTask *>(Self);
   if (T.Connections.size() >= T.Init.MaxConnections) {
-    logEvent("caller-refused", {{"why", "connection limit"},
-                                {"limit", T.Init.MaxConnections}});
+    logEvent("caller-refused",
+             {{"why", "connection limit"}, {"limit", T.Init.MaxConnections}});
     evutil_closesocket(Fd);
     return;
   }
@@ -198,8 +197,7 @@
     evbuffer_drain(In, evbuffer_get_length(In));
     return;
   }
-  while (C.State != ConnectionState::Answering &&
-         evbuffer_get_length(In) > 0) {
+  while (C.State != ConnectionState::Answering && evbuffer_get_length(In) > 0) {
     evbuffer_iovec Span;
     if (evbuffer_peek(In, -1, nullptr, &Span, 1) < 1) {
       return;
@@ -297,8 +295,7 @@
     return;
   }
   bool Close = C->CloseAfter || Answer.Close || this->Draining;
-  std::string Framing =
-      "Content-Length: " + std::to_string(Answer.Body.size());
+  std::string Framing = "Content-Length: " + std::to_string(Answer.Body.size());
   this->writeHead(*C, Answer.Status, Answer.Fields, Framing.c_str(), Close);
   bufferevent_write(C->Socket, Answer.Body.data(), Answer.Body.size());
   this->finishAnswer(*C, Close);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -48,6 +48,10 @@
 static constexpr Duration StopMargin = millis(500);
 // Share of the revocation limit up to which a key is trusted.
 static constexpr double KeyAgeShare = 0.62;
+// Parts of the tolerated excess over a quota that are given to customers; the
+// rest covers what peers admit unheard.
+static constexpr double QuotaOverageShare = 0.4;
+static constexpr double QuotaToleranceShare = 0.3;
 // Descriptors that are not for callers' connections.
 static constexpr uint32_t ReservedDescriptors = 900;
 
@@ -102,13 +106,13 @@
     this->Self.Domain = Host.Domain;
     this->Self.Run = wallMillis();
     this->Store = MakeStore(this->Base);
-    this->Beliefs = std::make_unique<Directory>(*this->Store, *this,
-                                                hash64(Host.Host));
+    this->Beliefs =
+        std::make_unique<Directory>(*this->Store, *this, hash64(Host.Host));
     FrontInit Front;
     Front.At = Host.Caller;
     Front.MaxConnections =
-        std::max(64U, Host.Descriptors - std::min(Host.Descriptors / 2,
-                                                  ReservedDescriptors));
+        std::max(64U, Host.Descriptors -
+                          std::min(Host.Descriptors / 2, ReservedDescriptors));
     Front.MaxBufferedBytes = uint64_t{Host.MemoryMb} * 1024 * 1024 / 4;
     RelayInit Relay;
     Relay.Headers = Headers;
@@ -118,8 +122,10 @@
     Relay.Budget.Ratio = Host.RetryRatio;
     Relay.Budget.Extra = Host.RetryExtra;
     Relay.Budget.Window = Host.RetryWindow;
-    this->Relays = std::make_unique<RelayTable>(this->Base, Front, Relay,
-                                                *this->Beliefs);
+    Relay.Slack.RateShare = Host.QuotaOverage * QuotaOverageShare;
+    Relay.Slack.Overdraft = Host.QuotaTolerance * QuotaToleranceShare;
+    this->Relays =
+        std::make_unique<RelayTable>(this->Base, Front, Relay, *this->Beliefs);
     this->Link = std::make_unique<FleetLink>(
         this->Base, this->Self,
         [this](const FleetState &State) { this->onPeer(State); });
@@ -140,11 +146,12 @@
     this->watchSignal(SIGHUP, [](evutil_socket_t, short, void *Arg) {
       static_cast<Parts *>(Arg)->reload("SIGHUP");
     });
-    event *Tick = event_new(this->Base, -1, EV_PERSIST,
-                            [](evutil_socket_t, short, void *Arg) {
-                              static_cast<Parts *>(Arg)->tick();
-                            },
-                            this);
+    event *Tick = event_new(
+        this->Base, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void *Arg) {
+          static_cast<Parts *>(Arg)->tick();
+        },
+        this);
     timeval Every = toTimeval(TickInterval);
     event_add(Tick, &Every);
     this->Watches.push_back(Tick);
@@ -198,8 +205,7 @@
   void stopStep(Time Now) {
     if (Now - this->StopAsked > BalancerLag) {
       this->Relays->closeIdle();
-      if (this->Relays->idle() &&
-          this->Relays->frontStats().Connections == 0) {
+      if (this->Relays->idle() && this->Relays->frontStats().Connections == 0) {
         event_base_loopbreak(this->Base);
         return;
       }
@@ -300,8 +306,8 @@
         }
       }
     }
-    double Share = Heard == 1 ? 1.0 / Hosts
-                              : static_cast<double>(Heard) / Hosts;
+    double Share =
+        Heard == 1 ? 1.0 / Hosts : static_cast<double>(Heard) / Hosts;
     this->Relays->quota().setShare(Share);
     this->Relays->setHosts(Hosts);
     for (const std::string &Name : Gone) {
--- a/src/http_message_p.h
+++ b/src/http_message_p.h
@@ -27,7 +27,7 @@
   std::string Target; ///< Requests only: path and query as sent.
   int Status = 0;     ///< Answers only.
   std::vector<HttpField> Fields;
-  bool KeepAlive = true;  ///< The sender keeps the connection open after this.
+  bool KeepAlive = true;   ///< The sender keeps the connection open after this.
   bool UntilClose = false; ///< Answers only: the body ends with the connection.
 
   /// First value of \p Name; nullptr: absent.
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -20,14 +20,27 @@
 static constexpr double MaxSlowness = 20;
 // Failures of a target are forgotten with this time constant.
 static constexpr double TroubleDecaySeconds = 3;
-// From this many recent failures on a target is avoided.
+// From this many recent failures on a target is suspect.
 static constexpr double TroubleLimit = 2;
-static constexpr Duration AvoidTime = millis(1500);
+// A suspect target is left alone this long, doubled with each failed probe.
+static constexpr Duration FirstAvoid = millis(250);
+static constexpr Duration LongestAvoid = seconds(2);
+// Above this share of suspects the fault is taken to lie elsewhere, and all
+// targets are used.
+static constexpr double MaxSuspectShare = 0.5;
 // A plain service's short calls wait at most this share of their objective.
 static constexpr double ServiceWaitShare = 0.6;
-// Waiting requests past their objective are kept this long when their late
-// answer is still worth something.
-static constexpr Duration LateWait = seconds(2);
+// A caller refused for the first time may come back; with less time left than
+// this it could not, so it waits instead.
+static constexpr Duration MinTimeToReturn = millis(1500);
+// A late request waits this share of its objective and of the time that it
+// has left before it is refused for good.
+static constexpr double LateObjectiveShare = 0.5;
+static constexpr double LateTimeShare = 0.3;
+// Bounds of the advice to come back. Callers keep to at most a third of the
+// time that they have left.
+static constexpr Duration MinReturn = millis(250);
+static constexpr double ReturnShare = 0.2;
 // Requests that wait at the most, of one service.
 static constexpr size_t MaxWaiting = 512;
 
@@ -41,7 +54,8 @@
 void PlacePool::setTarget(const TargetEntry &Entry, Time) {
   bool New = this->Targets.count(Entry.Instance) == 0;
   Target &T = this->Targets[Entry.Instance];
-  if (T.Entry.BornMs != Entry.BornMs || !(T.Entry.At.text() == Entry.At.text())) {
+  if (T.Entry.BornMs != Entry.BornMs ||
+      !(T.Entry.At.text() == Entry.At.text())) {
     Target Fresh;
     Fresh.Own = T.Own;
     Fresh.OwnPrompt = T.OwnPrompt;
@@ -62,14 +76,14 @@
 }
 
 Duration PlacePool::unitTime(const PlaceAsk &Ask) const {
-  double Ms = this->Engine
-                  ? EngineBaseMs + Ask.PromptTokens / PromptTokensPerMs
-                  : ServiceBaseMs;
+  double Ms = this->Engine ? EngineBaseMs + Ask.PromptTokens / PromptTokensPerMs
+                           : ServiceBaseMs;
   return Duration(static_cast<int64_t>(Ms * 1000));
 }
 
 void PlacePool::enqueue(const PlaceAsk &Ask) {
-  Order Place{Ask.Rank, (Ask.Arrived + Ask.Objective).time_since_epoch().count(),
+  Order Place{Ask.Rank, !this->onTime(Ask, Ask.Arrived),
+              (Ask.FirstAsked + Ask.Objective).time_since_epoch().count(),
               this->NextSerial++};
   this->Queue[Place] = Ask;
   this->Places[Ask.Run] = Place;
@@ -83,17 +97,22 @@
   }
 }
 
+bool PlacePool::usable(const Target &T, Time Now) const {
+  if (T.Entry.Leaving || T.Own + T.Peers >= T.Entry.Slots) {
+    return false;
+  }
+  return !T.Suspect || this->TooManySuspects ||
+         (T.Own == 0 && Now >= T.AvoidUntil);
+}
+
 PlacePool::Choice PlacePool::choose(const PlaceAsk &Ask, Time Now) {
   Choice Best;
-  bool BestAvoided = true;
   for (auto &Item : this->Targets) {
     Target &T = Item.second;
-    if (T.Entry.Leaving || T.Own + T.Peers >= T.Entry.Slots ||
-        std::find(Ask.Tried.begin(), Ask.Tried.end(), Item.first) !=
-            Ask.Tried.end()) {
+    if (!this->usable(T, Now) || std::find(Ask.Tried.begin(), Ask.Tried.end(),
+                                           Item.first) != Ask.Tried.end()) {
       continue;
     }
-    bool Avoided = Now < T.AvoidUntil;
     double Ms = T.Entry.Domain == this->OwnDomain ? 0 : RemoteDomainMs;
     if (this->Engine) {
       double Pending = T.OwnPrompt + T.PeerPrompt + Ask.PromptTokens;
@@ -103,67 +122,82 @@
     }
     double Fill = static_cast<double>(T.Own + T.Peers) / T.Entry.Slots;
     double Cost = Ms * (1 + Fill) + 50 * T.Trouble;
-    if (Best.At == nullptr || (BestAvoided && !Avoided) ||
-        (BestAvoided == Avoided && Cost < Best.Cost)) {
+    if (Best.At == nullptr || Cost < Best.Cost) {
       Best.At = &T;
       Best.Cost = Cost;
       Best.Predicted = Duration(static_cast<int64_t>(Ms * 1000));
-      BestAvoided = Avoided;
     }
   }
   return Best;
 }
 
-Duration PlacePool::returnTime(const PlaceAsk &Ask) const {
-  // Less urgent requests return later, behind those that go first.
-  Duration Base = millis(150) + millis(250) * Ask.Rank;
-  uint64_t Spread = hashPair(Ask.Run.Value, Ask.Rank) % 200;
-  return Base + millis(static_cast<int64_t>(Spread));
+// Whether its first event could still come within the objective, on a target
+// of ordinary speed.
+bool PlacePool::onTime(const PlaceAsk &Ask, Time Now) const {
+  return Now + this->unitTime(Ask) <= Ask.FirstAsked + Ask.Objective;
+}
+
+Duration PlacePool::lateLimit(const PlaceAsk &Ask) const {
+  double Left = static_cast<double>((Ask.Deadline - Ask.Arrived).count());
+  double Objective = static_cast<double>(Ask.Objective.count());
+  double Limit = this->Engine ? std::max(Objective * LateObjectiveShare,
+                                         Left * LateTimeShare)
+                              : Objective * ServiceWaitShare;
+  return Duration(static_cast<int64_t>(Limit));
+}
+
+// Less urgent requests come back later, and none at the same moment.
+Duration PlacePool::returnTime(const PlaceAsk &Ask, Time Now) const {
+  double Left = static_cast<double>((Ask.Deadline - Now).count());
+  double Point = static_cast<double>(hashPair(Ask.Run.Value, 1) % 1000) / 1000;
+  double Wait = Left * ReturnShare * (0.5 + 0.5 * Point) *
+                (1 + 0.25 * std::min(Ask.Rank, 3U));
+  return std::max(MinReturn, Duration(static_cast<int64_t>(Wait)));
 }
 
 void PlacePool::decide(Time Now, std::vector<Placement> &Placed,
                        std::vector<PlaceRefusal> &Refused) {
   std::vector<Order> Done;
+  std::vector<Order> Late;
+  bool Room = true;
   for (auto &Item : this->Queue) {
     PlaceAsk &Ask = Item.second;
     if (Now >= Ask.Deadline) {
-      Refused.push_back({Ask.Run, "deadline", this->returnTime(Ask)});
+      Refused.push_back({Ask.Run, "deadline", MinReturn});
       Done.push_back(Item.first);
       continue;
     }
-    Choice Best = this->choose(Ask, Now);
+    // Without a tried target all requests have the same choice.
+    Choice Best;
+    if (Room || !Ask.Tried.empty()) {
+      Best = this->choose(Ask, Now);
+      Room = Best.At != nullptr || !Ask.Tried.empty();
+    }
     if (Best.At != nullptr) {
+      this->occupy(*Best.At, Ask, Now);
       Placement P;
       P.Run = Ask.Run;
       P.Target = Best.At->Entry;
       P.Predicted = Best.Predicted;
       P.Waited = Now - Ask.Arrived;
-      P.Running = Best.At->Own + Best.At->Peers;
+      P.Running = Best.At->Own + Best.At->Peers - 1;
       Placed.push_back(P);
-      ++Best.At->Own;
-      Best.At->OwnPrompt += Ask.PromptTokens;
-      Running R;
-      R.Instance = Best.At->Entry.Instance;
-      R.PromptTokens = Ask.PromptTokens;
-      R.Unit = this->unitTime(Ask);
-      R.Sent = Now;
-      this->Runs[Ask.Run] = R;
       Done.push_back(Item.first);
       continue;
     }
-    Duration Wait = Now - Ask.Arrived;
-    Duration Limit =
-        this->Engine
-            ? Ask.Objective + LateWait
-            : Duration(static_cast<int64_t>(
-                  static_cast<double>(Ask.Objective.count()) *
-                  ServiceWaitShare));
+    bool OnTime = this->onTime(Ask, Now);
+    bool Returns = !Ask.Returned && Ask.Deadline - Now > MinTimeToReturn;
     if (this->Targets.empty()) {
       Refused.push_back({Ask.Run, "no-target", millis(500)});
       Done.push_back(Item.first);
-    } else if (Wait > Limit) {
-      Refused.push_back({Ask.Run, "overload", this->returnTime(Ask)});
+    } else if (this->Engine && OnTime) {
+      continue;
+    } else if ((this->Engine && Returns) ||
+               Now - Ask.Arrived > this->lateLimit(Ask)) {
+      Refused.push_back({Ask.Run, "overload", this->returnTime(Ask, Now)});
       Done.push_back(Item.first);
+    } else if (!Item.first.Late) {
+      Late.push_back(Item.first);
     }
   }
   for (const Order &Place : Done) {
@@ -171,15 +205,35 @@
     this->Places.erase(It->second.Run);
     this->Queue.erase(It);
   }
+  for (const Order &Place : Late) {
+    auto It = this->Queue.find(Place);
+    Order Next = Place;
+    Next.Late = true;
+    PlaceAsk Ask = It->second;
+    this->Queue.erase(It);
+    this->Places[Ask.Run] = Next;
+    this->Queue[Next] = Ask;
+  }
   while (this->Queue.size() > MaxWaiting) {
     auto Last = std::prev(this->Queue.end());
     Refused.push_back(
-        {Last->second.Run, "queue-full", this->returnTime(Last->second)});
+        {Last->second.Run, "queue-full", this->returnTime(Last->second, Now)});
     this->Places.erase(Last->second.Run);
     this->Queue.erase(Last);
   }
 }
 
+void PlacePool::occupy(Target &T, const PlaceAsk &Ask, Time Now) {
+  ++T.Own;
+  T.OwnPrompt += Ask.PromptTokens;
+  Running R;
+  R.Instance = T.Entry.Instance;
+  R.PromptTokens = Ask.PromptTokens;
+  R.Unit = this->unitTime(Ask);
+  R.Sent = Now;
+  this->Runs[Ask.Run] = R;
+}
+
 void PlacePool::started(RunId Run, Time Now) {
   auto It = this->Runs.find(Run);
   if (It == this->Runs.end() || It->second.Started) {
@@ -198,19 +252,55 @@
   T.Slowness += SlownessWeight * (Seen - T.Slowness);
 }
 
+void PlacePool::suspect(Target &T, Time Now) {
+  if (!T.Suspect) {
+    T.Suspicions = 0;
+  }
+  T.Suspect = true;
+  Duration Avoid = FirstAvoid * (1 << std::min(T.Suspicions, 4U));
+  T.AvoidUntil = Now + std::min(Avoid, LongestAvoid);
+  ++T.Suspicions;
+  this->countSuspects();
+}
+
+void PlacePool::countSuspects() {
+  size_t Suspects = 0;
+  for (const auto &Item : this->Targets) {
+    Suspects += Item.second.Suspect ? 1 : 0;
+  }
+  this->TooManySuspects =
+      static_cast<double>(Suspects) >
+      MaxSuspectShare * static_cast<double>(this->Targets.size());
+}
+
 void PlacePool::note(Target &T, RunSign Sign, Time Now) {
   double Past = toSeconds(Now - T.TroubleAt);
   T.Trouble *= std::exp(-std::max(0.0, Past) / TroubleDecaySeconds);
   T.TroubleAt = Now;
-  if (Sign == RunSign::Failed || Sign == RunSign::Lost) {
+  switch (Sign) {
+  case RunSign::Unreachable:
+    T.Trouble = std::max(T.Trouble, TroubleLimit);
+    break;
+  case RunSign::Failed:
+  case RunSign::Lost:
     T.Trouble += 1;
-  } else if (Sign == RunSign::Full) {
+    break;
+  case RunSign::Full:
     T.Trouble += 0.5;
-  } else if (Sign == RunSign::Served) {
+    break;
+  case RunSign::Served:
     T.Trouble *= 0.8;
+    if (T.Suspect) {
+      T.Suspect = false;
+      T.Trouble = std::min(T.Trouble, TroubleLimit / 2);
+      this->countSuspects();
+    }
+    return;
+  case RunSign::Unknown:
+    return;
   }
   if (T.Trouble >= TroubleLimit) {
-    T.AvoidUntil = Now + AvoidTime;
+    this->suspect(T, Now);
   }
 }
 
@@ -247,8 +337,7 @@
   }
 }
 
-void PlacePool::peerUse(HostId Peer, const std::vector<TargetUse> &Uses,
-                        Time) {
+void PlacePool::peerUse(HostId Peer, const std::vector<TargetUse> &Uses, Time) {
   std::vector<TargetUse> &Known = this->PeerUses[Peer];
   this->addUses(Known, -1);
   Known = Uses;
@@ -281,8 +370,8 @@
   for (const auto &Item : this->Targets) {
     const Target &T = Item.second;
     if (T.Own > 0) {
-      Uses.push_back({targetHash(Item.first), T.Own,
-                      static_cast<uint32_t>(T.OwnPrompt)});
+      Uses.push_back(
+          {targetHash(Item.first), T.Own, static_cast<uint32_t>(T.OwnPrompt)});
     }
   }
   return Uses;
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -22,8 +22,10 @@
   double PromptTokens = 0; ///< Zero at plain services.
   double OutputTokens = 0;
   Duration Objective{0}; ///< To the first event, from the first arrival.
-  Time Arrived;
-  Time Deadline;          ///< After this nobody waits for it.
+  Time Arrived;          ///< At this host.
+  Time FirstAsked;       ///< First attempt of its caller, as far as known.
+  bool Returned = false; ///< Its caller was refused before.
+  Time Deadline;         ///< After this nobody waits for it.
   bool Repeatable = false;
   std::vector<std::string> Tried; ///< Instances not to be used again.
 };
@@ -51,11 +53,12 @@
 
 /// How a run ended, as far as the target's condition shows.
 enum class RunSign : uint8_t {
-  Served,  ///< An answer of the target's own.
-  Failed,  ///< It answered with an error, or not in the agreed form.
-  Full,    ///< It refused for lack of room.
-  Lost,    ///< The connection failed or broke.
-  Unknown, ///< The caller left, or the time ran out.
+  Served,      ///< An answer of the target's own.
+  Failed,      ///< It answered with an error, or not in the agreed form.
+  Full,        ///< It refused for lack of room.
+  Lost,        ///< The connection broke.
+  Unreachable, ///< No connection came about.
+  Unknown,     ///< The caller left, or the time ran out.
 };
 
 struct PlacePoolStats {
@@ -111,31 +114,47 @@
     double Slowness = 1; ///< Observed over expected time to the first event.
     double Trouble = 0;  ///< Decaying count of failures.
     Time TroubleAt;
-    Time AvoidUntil; ///< Failed lately: used only when nothing else is left.
+    /// Failed lately: gets one run at a time, from AvoidUntil on, until one
+    /// is served.
+    bool Suspect = false;
+    uint32_t Suspicions = 0; ///< In a row.
+    Time AvoidUntil;
   };
   struct Choice {
     Target *At = nullptr;
     double Cost = 0;
     Duration Predicted{0};
   };
+  /// What can still be on time goes before what is late already; otherwise an
+  /// overload makes every request of a rank late.
   struct Order {
     uint32_t Rank;
+    bool Late;
     int64_t Due;
     uint64_t Serial;
     friend bool operator<(const Order &A, const Order &B) {
       if (A.Rank != B.Rank) {
         return A.Rank < B.Rank;
       }
+      if (A.Late != B.Late) {
+        return B.Late;
+      }
       return A.Due != B.Due ? A.Due < B.Due : A.Serial < B.Serial;
     }
   };
 
+  void occupy(Target &T, const PlaceAsk &Ask, Time Now);
   Choice choose(const PlaceAsk &Ask, Time Now);
   Duration unitTime(const PlaceAsk &Ask) const;
   void sumPeers();
   void addUses(const std::vector<TargetUse> &Uses, int Sign);
   void note(Target &T, RunSign Sign, Time Now);
-  Duration returnTime(const PlaceAsk &Ask) const;
+  bool usable(const Target &T, Time Now) const;
+  void suspect(Target &T, Time Now);
+  void countSuspects();
+  bool onTime(const PlaceAsk &Ask, Time Now) const;
+  Duration lateLimit(const PlaceAsk &Ask) const;
+  Duration returnTime(const PlaceAsk &Ask, Time Now) const;
 
   bool Engine;
   std::string OwnDomain;
@@ -146,6 +165,7 @@
   std::map<HostId, std::vector<TargetUse>> PeerUses;
   std::unordered_map<uint32_t, Target *> ByHash;
   uint64_t NextSerial = 1;
+  bool TooManySuspects = false; ///< The fault is not theirs.
 };
 
 } // namespace shallotlatch
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -27,6 +27,11 @@
 // A second attempt needs at least this much time.
 static constexpr Duration MinTimeToRepeat = millis(60);
 static constexpr size_t MaxAnswerBytes = 8 * 1024 * 1024;
+// A deadline shorter by this is that of a caller that comes back.
+static constexpr Duration ReturnedAfter = millis(100);
+// Part by which the longest deadline seen on a route falls with each request,
+// so that a lowered one is learned.
+static constexpr int DeadlineDecay = 100000;
 static constexpr Duration NotReadyReturn = millis(500);
 static constexpr Duration StopReturn = millis(50);
 static constexpr Duration FailReturn = millis(200);
@@ -34,7 +39,7 @@
 RelayTable::RelayTable(event_base *Base, const FrontInit &Front,
                        const RelayInit &Init, const Directory &Beliefs)
     : Base(Base), Init(Init), Beliefs(Beliefs), Front(Base, Front, *this),
-      Wire(Base, *this) {}
+      Wire(Base, *this), Quota(Init.Slack) {}
 
 RelayTable::~RelayTable() = default;
 
@@ -121,8 +126,7 @@
                        double &Output) {
   unsigned long long In = 0;
   unsigned long long Out = 0;
-  if (Field != nullptr &&
-      sscanf(Field->c_str(), "%llu,%llu", &In, &Out) == 2) {
+  if (Field != nullptr && sscanf(Field->c_str(), "%llu,%llu", &In, &Out) == 2) {
     Prompt = static_cast<double>(In);
     Output = static_cast<double>(Out);
   }
@@ -168,9 +172,14 @@
   const std::string *Tokens = R.Ask.Head.find(H.TokenCounts);
   readTokens(Tokens, R.PromptTokens, R.OutputTokens);
   const std::string *Left = R.Ask.Head.find(H.DeadlineMs);
-  Duration Limit = Left == nullptr ? DefaultDeadline
-                                   : millis(atoll(Left->c_str()));
+  Duration Limit =
+      Left == nullptr ? DefaultDeadline : millis(atoll(Left->c_str()));
   R.Deadline = R.Ask.Read + std::min(Limit - AnswerMargin, R.Path->Timeout);
+  // The longest deadline seen lately on a route is that of first attempts, so
+  // a shorter one tells how long its caller has been trying.
+  Duration &Longest = this->LongestDeadline[R.Path->Id];
+  Longest = std::max(Limit, Longest - Longest / DeadlineDecay);
+  R.Spent = Left == nullptr ? Duration(0) : Longest - Limit;
   double Point = static_cast<double>(hash64(R.RequestId) % 10000) / 10000;
   double Total = 0;
   for (const RouteShare &S : R.Path->Shares) {
@@ -188,8 +197,7 @@
                                        R.PromptTokens + R.OutputTokens);
     QuotaAnswer Answer = this->Quota.admit(R.Customer->Id, R.QuotaAmount, Now);
     if (!Answer.Admitted) {
-      this->refuse(R, 429, "the customer is over its quota",
-                   Answer.RetryAfter);
+      this->refuse(R, 429, "the customer is over its quota", Answer.RetryAfter);
       return false;
     }
   }
@@ -224,6 +232,8 @@
   Ask.Objective = R.Path->Objective;
   Ask.Arrived = R.Ask.Read;
   Ask.Deadline = R.Deadline;
+  Ask.FirstAsked = R.Ask.Read - R.Spent;
+  Ask.Returned = R.Spent > ReturnedAfter;
   Ask.Repeatable = R.Path->repeatable();
   Ask.Tried = R.Tried;
   this->service(R.Service).Pool->enqueue(Ask);
@@ -258,14 +268,13 @@
 
 std::string RelayTable::render(const Relay &R) const {
   const RelayHeaders &H = this->Init.Headers;
-  std::string Text = R.Ask.Head.Method + " " + R.Ask.Head.Target +
-                     " HTTP/1.1\r\n";
+  std::string Text =
+      R.Ask.Head.Method + " " + R.Ask.Head.Target + " HTTP/1.1\r\n";
   for (const HttpField &F : R.Ask.Head.Fields) {
-    bool Dropped = isHopByHop(F.Name) || sameName(F.Name, "content-length") ||
-                   sameName(F.Name, "expect") ||
-                   sameName(F.Name, "authorization") ||
-                   sameName(F.Name, H.DeadlineMs) ||
-                   sameName(F.Name, "last-event-id");
+    bool Dropped =
+        isHopByHop(F.Name) || sameName(F.Name, "content-length") ||
+        sameName(F.Name, "expect") || sameName(F.Name, "authorization") ||
+        sameName(F.Name, H.DeadlineMs) || sameName(F.Name, "last-event-id");
     for (const std::string &Name : H.NotFromCallers) {
       Dropped = Dropped || sameName(F.Name, Name);
     }
@@ -308,8 +317,8 @@
             {"running", P.Running},
             {"predicted-ms", toMillis(P.Predicted)},
             {"waited-ms", toMillis(P.Waited)},
-            {"targets-age-ms", toMillis(this->Beliefs.age(
-                                   DirectoryKind::Targets, bootTime()))}});
+            {"targets-age-ms",
+             toMillis(this->Beliefs.age(DirectoryKind::Targets, bootTime()))}});
   WireCall Call;
   Call.To = P.Target.At;
   Call.Identity = P.Target.identity();
@@ -441,8 +450,8 @@
     R.Begun = true;
     this->Front.begin(R.Ask.Exchange, R.Status, R.Fields);
   }
-  bool Room = this->Front.part(R.Ask.Exchange,
-                               std::string_view(R.Body).substr(0, End));
+  bool Room =
+      this->Front.part(R.Ask.Exchange, std::string_view(R.Body).substr(0, End));
   R.Body.erase(0, End);
   if (!Room) {
     this->Wire.pauseReading(R.Call, true);
@@ -470,13 +479,12 @@
 bool RelayTable::sendAgain(Relay &R, const char *Why) {
   Time Now = ProcessClock::now();
   bool Allowed = (!R.MayHaveRun || R.Path->repeatable()) &&
-                 R.Attempts < R.Path->MaxAttempts &&
-                 R.Arrivals < MaxArrivals &&
+                 R.Attempts < R.Path->MaxAttempts && R.Arrivals < MaxArrivals &&
                  R.Deadline - Now > MinTimeToRepeat &&
                  !(this->Draining && Now > this->DrainUntil);
-  bool Budget = Allowed &&
-                (R.Arrivals == 0 ||
-                 this->service(R.Service).Budget.take(Now, this->Hosts));
+  bool Budget =
+      Allowed && (R.Arrivals == 0 ||
+                  this->service(R.Service).Budget.take(Now, this->Hosts));
   logEvent(Budget ? "sent-again" : "not-sent-again",
            {{"id", R.RequestId},
             {"why", Why},
@@ -502,7 +510,7 @@
   ServiceId Where = R.Service;
   R.Tried.push_back(R.Target.Instance);
   if (How == WireEnd::ConnectFailed) {
-    this->leaveTarget(R, RunSign::Lost);
+    this->leaveTarget(R, RunSign::Unreachable);
     logEvent("connect-failed",
              {{"id", R.RequestId}, {"target", R.Target.Instance}});
     if (++R.ConnectFails < MaxConnectFails) {
@@ -611,19 +619,18 @@
   this->finish(R, Outcome::NotRun, Status, Why);
 }
 
-void RelayTable::finish(Relay &R, Outcome Result, int Status,
-                        const char *Why) {
+void RelayTable::finish(Relay &R, Outcome Result, int Status, const char *Why) {
   Time Now = ProcessClock::now();
-  LogFields Line{{"id", R.RequestId},
-                 {"verdict", name(Result)},
-                 {"status", Status},
-                 {"why", Why},
-                 {"ms", toMillis(Now - R.Ask.Read)},
-                 {"config", R.Config ? R.Config->Version : 0},
-                 {"config-age-ms",
-                  R.Config ? toMillis(this->Beliefs.age(DirectoryKind::Config,
-                                                        bootTime()))
-                           : -1}};
+  LogFields Line{
+      {"id", R.RequestId},
+      {"verdict", name(Result)},
+      {"status", Status},
+      {"why", Why},
+      {"ms", toMillis(Now - R.Ask.Read)},
+      {"config", R.Config ? R.Config->Version : 0},
+      {"config-age-ms",
+       R.Config ? toMillis(this->Beliefs.age(DirectoryKind::Config, bootTime()))
+                : -1}};
   if (R.Path != nullptr) {
     Line["route"] = R.Path->Name;
     Line["attempts"] = R.Attempts;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -40,6 +40,7 @@
   /// Age from which an unknown route or key may only be new.
   Duration FreshAge = millis(1500);
   RetryBudgetInit Budget;
+  QuotaSlack Slack;
 };
 
 /// Readable figures of the relay.
@@ -105,12 +106,13 @@
     double PromptTokens = 0;
     double OutputTokens = 0;
     Time Deadline;
+    Duration Spent{0};   ///< Its caller has been trying for this long.
     bool Placed = false; ///< Has a place on Target.
     bool Sent = false;   ///< The present attempt's bytes may have left.
     bool EverSent = false;
     bool MayHaveRun = false;
-    uint32_t Attempts = 0;    ///< Sent to targets that did not refuse.
-    uint32_t Arrivals = 0;    ///< Sent to targets at all.
+    uint32_t Attempts = 0; ///< Sent to targets that did not refuse.
+    uint32_t Arrivals = 0; ///< Sent to targets at all.
     uint32_t ConnectFails = 0;
     uint32_t Sends = 0; ///< Tells one attempt from the next.
     std::vector<std::string> Tried;
@@ -168,6 +170,7 @@
   std::unordered_map<WireCallId, RunId> ByCall;
   std::unordered_map<ServiceId, std::unique_ptr<Service>> Services;
   std::unordered_map<std::string, TargetEntry> Targets;
+  std::unordered_map<RouteId, Duration> LongestDeadline;
   uint64_t NextRun = 1;
   uint32_t Hosts = 1;
   bool Draining = false;
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -65,9 +65,9 @@
   CustomerId Id;
   std::string Name;
   std::optional<uint32_t> Rank;
-  bool CountsTokens = false;   ///< The quota counts tokens, not requests.
-  double UncountedTokens = 0;  ///< Counted where a request names none.
-  double RatePerSecond = 0;    ///< Zero: no limit.
+  bool CountsTokens = false;  ///< The quota counts tokens, not requests.
+  double UncountedTokens = 0; ///< Counted where a request names none.
+  double RatePerSecond = 0;   ///< Zero: no limit.
   double Burst = 0;
 };
 
--- a/src/sockets.cpp
+++ b/src/sockets.cpp
@@ -34,8 +34,7 @@
                             const std::string &Detail) {
   nlohmann::ordered_json Body{
       {"title", Title}, {"status", Status}, {"detail", Detail}};
-  return Body.dump(-1, ' ', false,
-                   nlohmann::json::error_handler_t::replace);
+  return Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Time bootTime() {
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -162,9 +162,8 @@
       return;
     }
     this->KeepAlive = false;
-    this->Owner.finish(*this, Result == FeedResult::Complete
-                                  ? WireEnd::Complete
-                                  : WireEnd::Broken);
+    this->Owner.finish(*this, Result == FeedResult::Complete ? WireEnd::Complete
+                                                             : WireEnd::Broken);
   }
 
   static void onRead(bufferevent *, void *Arg) {
@@ -229,9 +228,8 @@
 WireCallId WireClient::start(WireCall Call) {
   WireCallId Id{this->NextId++};
   PoolKey Key{Call.To.text(), Call.Identity};
-  Connection *C = Call.MaxIdle.count() > 0
-                      ? this->takeIdle(Key, Call.MaxIdle)
-                      : nullptr;
+  Connection *C =
+      Call.MaxIdle.count() > 0 ? this->takeIdle(Key, Call.MaxIdle) : nullptr;
   if (C != nullptr) {
     ++this->Counts.Reused;
     C->Reused = true;
@@ -248,8 +246,8 @@
   C->Key = std::move(Key);
   C->Call = Id;
   C->Bytes = std::move(Call.Bytes);
-  C->Socket = bufferevent_socket_new(this->Base, -1, BEV_OPT_CLOSE_ON_FREE |
-                                                         BEV_OPT_DEFER_CALLBACKS);
+  C->Socket = bufferevent_socket_new(
+      this->Base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(C->Socket, &Connection::onRead, nullptr,
                     &Connection::onEvent, C);
   C->ConnectTimer =
