--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -49,6 +49,7 @@
 void Directory::start(const FleetHost &Host, Time At) {
   this->Self = Host;
   this->Now = At;
+  this->FailingSince = At;
   for (Feed &F : this->Feeds) {
     F.Listing = true;
     F.NextCall = At;
--- /dev/null
+++ b/tests/test_fleet_limits.cpp
@@ -0,0 +1,122 @@
+// Limits that hold over all hosts together: quotas and the retry budget.
+#include "fleet_link_p.h"
+#include "retry_budget_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+TEST_GROUP(FleetLimits) {
+  RoutingConfig Config;
+  CustomerId Id = customerId("c");
+  Time Now{seconds(100)};
+
+  void setup() override {
+    FrontCustomer C;
+    C.Id = Id;
+    C.Name = "c";
+    C.CountsTokens = true;
+    C.RatePerSecond = 1000;
+    C.Burst = 2000;
+    Config.Customers[Id] = C;
+  }
+  /// Hosts that hear each other \p Lag late admit \p Demand a second each.
+  double admitted(int Hosts, double Demand, int64_t LagMs, int Seconds) {
+    std::vector<FleetQuota> Quotas(static_cast<size_t>(Hosts),
+                                   FleetQuota(QuotaSlack{}));
+    for (FleetQuota &Q : Quotas) {
+      Q.configure(Config, Now);
+    }
+    double Sum = 0;
+    for (int64_t Ms = 0; Ms < Seconds * 1000; Ms += 10) {
+      Now += millis(10);
+      for (FleetQuota &Q : Quotas) {
+        if (Q.admit(Id, Demand / 100, Now).Admitted) {
+          Sum += Demand / 100;
+        }
+      }
+      if (Ms % LagMs == 0) {
+        for (size_t From = 0; From < Quotas.size(); ++From) {
+          for (size_t To = 0; To < Quotas.size(); ++To) {
+            if (From != To) {
+              Quotas[To].peerUse(HostId{From + 1}, 1, Quotas[From].ownUse());
+            }
+          }
+        }
+      }
+    }
+    return Sum;
+  }
+};
+
+TEST(FleetLimits, sixHostsTogetherKeepToTheQuota) {
+  double Sum = admitted(6, 2000, 100, 8);
+  double Limit = 1000 * 8 + 2000;
+  CHECK(Sum <= Limit * 1.1 + 6 * 2000 * 0.1);
+  CHECK(Sum >= Limit * 0.9);
+}
+
+TEST(FleetLimits, nothingIsRefusedBelowTheQuota) {
+  DOUBLES_EQUAL(6 * 150 * 10, admitted(6, 150, 100, 10), 1);
+}
+
+TEST(FleetLimits, aCutOffHostKeepsToItsShare) {
+  FleetQuota Q{QuotaSlack{}};
+  Q.configure(Config, Now);
+  Q.setShare(0.25);
+  double Sum = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Now += millis(10);
+    Sum += Q.admit(Id, 50, Now).Admitted ? 50 : 0;
+  }
+  CHECK(Sum <= 2000 + 0.25 * 1000 * 10 + 50);
+}
+
+TEST(FleetLimits, aPeersRestartCountsFromZero) {
+  FleetQuota Q{QuotaSlack{}};
+  Q.configure(Config, Now);
+  Q.peerUse(HostId{2}, 1, {{Id, 50000}});
+  CHECK(Q.admit(Id, 100, Now).Admitted);
+  Q.peerUse(HostId{2}, 2, {{Id, 1800}});
+  CHECK(Q.admit(Id, 100, Now).Admitted);
+  CHECK_FALSE(Q.admit(Id, 100, Now).Admitted);
+}
+
+TEST(FleetLimits, repeatsStayWithinRatioAndShare) {
+  RetryBudgetInit Init;
+  Init.Ratio = 0.2;
+  Init.Extra = 52;
+  RetryBudget Budget(Init);
+  uint32_t Taken = 0;
+  for (int I = 0; I < 100; ++I) {
+    Budget.request(Now);
+    Taken += Budget.take(Now, 4) ? 1 : 0;
+  }
+  CHECK_EQUAL(33, Taken); // 0.2 * 100 + 52 / 4
+  Now += seconds(11);
+  CHECK(Budget.take(Now, 4));
+}
+
+TEST(FleetLimits, aStateSurvivesItsDatagram) {
+  FleetState S;
+  S.Host = HostId{7};
+  S.Run = 3;
+  S.Sequence = 9;
+  S.ConfigRevision = 44;
+  S.ConfigAge = millis(120);
+  S.Targets = {{5, 2, 800}};
+  S.Customers = {{Id, 123456789}};
+  S.Crashes = {{Fingerprint{77}, 2}};
+  FleetState T;
+  CHECK(decodeFleetState(encodeFleetState(S), T));
+  CHECK(T.Host == S.Host && T.Run == 3 && T.Sequence == 9);
+  CHECK_EQUAL(800, T.Targets[0].PromptTokens);
+  CHECK_EQUAL(123456789, T.Customers[0].Admitted);
+  CHECK_EQUAL(2, T.Crashes[0].Count);
+  CHECK(T.ConfigAge == millis(120));
+}
+
+TEST(FleetLimits, bytesThatAreNoStateAreRefused) {
+  FleetState T;
+  CHECK_FALSE(decodeFleetState(std::string("\xff\xff\xff\xff\xff\xff", 6), T));
+}
--- /dev/null
+++ b/tests/test_http_message.cpp
@@ -0,0 +1,120 @@
+// Reading HTTP/1.1 strictly: framing that two readers could take differently
+// is refused, and an early end never looks complete.
+#include "http_message_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+namespace {
+struct Recorder : public HttpReaderEvents {
+  HttpHead Head;
+  std::string Body;
+  bool Take = true;
+  bool onHead(HttpHead &H) override {
+    this->Head = H;
+    return this->Take;
+  }
+  void onBody(std::string_view Part) override { this->Body += Part; }
+  void onComplete() override {}
+};
+} // namespace
+
+TEST_GROUP(HttpMessage) {
+  Recorder Seen;
+
+  FeedResult feed(HttpReader &R, const std::string &Bytes, size_t Step = 1) {
+    FeedResult Last = FeedResult::NeedMore;
+    for (size_t At = 0; At < Bytes.size() && Last == FeedResult::NeedMore;) {
+      size_t Used = 0;
+      Last = R.feed(std::string_view(Bytes).substr(At, Step), Used);
+      At += Used;
+    }
+    return Last;
+  }
+  FeedResult request(const std::string &Bytes) {
+    Seen = Recorder();
+    HttpReader R(HttpRole::Requests, Seen, 4096);
+    return feed(R, Bytes);
+  }
+  FeedResult answer(const std::string &Bytes, bool End) {
+    Seen = Recorder();
+    HttpReader R(HttpRole::Answers, Seen, 4096);
+    FeedResult Result = feed(R, Bytes);
+    return End && Result == FeedResult::NeedMore ? R.end() : Result;
+  }
+};
+
+TEST(HttpMessage, readsALengthAndChunksByteByByte) {
+  CHECK(request("POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                "\r\nabc") == FeedResult::Complete);
+  STRCMP_EQUAL("abc", Seen.Body.c_str());
+  STRCMP_EQUAL("/a/b?c=1", Seen.Head.Target.c_str());
+  STRCMP_EQUAL("POST", Seen.Head.Method.c_str());
+  CHECK(request("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n") == FeedResult::Complete);
+  STRCMP_EQUAL("abc", Seen.Body.c_str());
+}
+
+TEST(HttpMessage, leavesTheNextRequestUnread) {
+  HttpReader R(HttpRole::Requests, Seen, 4096);
+  std::string First = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  size_t Used = 0;
+  CHECK(R.feed(First + "GET /x HTTP/1.1\r\n", Used) == FeedResult::Complete);
+  CHECK_EQUAL(First.size(), Used);
+  R.reset();
+  std::string Bare = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  CHECK(R.feed(Bare + "G", Used) == FeedResult::Complete);
+  CHECK_EQUAL(Bare.size(), Used);
+}
+
+TEST(HttpMessage, refusesAmbiguousFraming) {
+  const char *Start = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const char *Bad[] = {
+      "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+      "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      "Content-Length : 3\r\n\r\nabc",
+      "Content-Length: +3\r\n\r\nabc",
+      "Content-Length: 3, 3\r\n\r\nabc",
+      "Host: other\r\n\r\n",
+      "Bad Name: x\r\n\r\n",
+      "X: a\r\n Folded: b\r\nContent-Length : 3\r\n\r\n"};
+  for (const char *Rest : Bad) {
+    CHECK_TEXT(request(std::string(Start) + Rest) == FeedResult::Malformed,
+               Rest);
+  }
+  CHECK(request("GET / HTTP/1.1\r\n\r\n") == FeedResult::Malformed);
+}
+
+TEST(HttpMessage, headOverItsLimitIsRefused) {
+  std::string Long(8000, 'a');
+  CHECK(request("GET / HTTP/1.1\r\nHost: h\r\nX: " + Long + "\r\n\r\n") ==
+        FeedResult::TooLong);
+}
+
+TEST(HttpMessage, earlyEndIsNeverComplete) {
+  CHECK(answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", true) ==
+        FeedResult::Malformed);
+  CHECK(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc"
+               "\r\n",
+               true) == FeedResult::Malformed);
+  CHECK(answer("HTTP/1.1 200 OK\r\nConte", true) == FeedResult::Malformed);
+}
+
+TEST(HttpMessage, bodyWithoutLengthEndsWithItsConnection) {
+  CHECK(answer("HTTP/1.1 200 OK\r\n\r\nabc", true) == FeedResult::Complete);
+  CHECK(Seen.Head.UntilClose);
+  STRCMP_EQUAL("abc", Seen.Body.c_str());
+}
+
+TEST(HttpMessage, interimAnswersArePassedOver) {
+  CHECK(answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+               "Content-Length: 1\r\n\r\nx",
+               false) == FeedResult::Complete);
+  CHECK_EQUAL(200, Seen.Head.Status);
+  STRCMP_EQUAL("x", Seen.Body.c_str());
+}
--- /dev/null
+++ b/tests/test_place_pool.cpp
@@ -0,0 +1,187 @@
+// Who waits, who is refused and who goes where, each under the load pattern
+// that it answers.
+#include "place_pool_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+
+TEST_GROUP(Placing) {
+  Time Now{seconds(100)};
+  std::unique_ptr<PlacePool> Pool = std::make_unique<PlacePool>(true, "north");
+  uint64_t NextRun = 1;
+  std::vector<Placement> Placed;
+  std::vector<PlaceRefusal> Refused;
+
+  void target(const std::string &Name, uint32_t Slots,
+              const std::string &Domain = "north", bool Leaving = false) {
+    TargetEntry T;
+    T.Instance = Name;
+    T.Slots = Slots;
+    T.Domain = Domain;
+    T.Leaving = Leaving;
+    Pool->setTarget(T, Now);
+  }
+  PlaceAsk ask(uint32_t Rank, Duration Objective = millis(500),
+               Duration Deadline = seconds(10)) {
+    PlaceAsk A;
+    A.Run = RunId{NextRun++};
+    A.Rank = Rank;
+    A.PromptTokens = 550;
+    A.Objective = Objective;
+    A.Arrived = Now;
+    A.FirstAsked = Now;
+    A.Deadline = Now + Deadline;
+    return A;
+  }
+  void decide() {
+    Placed.clear();
+    Refused.clear();
+    Pool->decide(Now, Placed, Refused);
+  }
+};
+
+TEST(Placing, nothingGoesToALeavingTargetOrBeyondTheSlots) {
+  target("leaving", 8, "north", true);
+  target("open", 2);
+  for (int I = 0; I < 4; ++I) {
+    Pool->enqueue(ask(0));
+  }
+  decide();
+  CHECK_EQUAL(2, Placed.size());
+  STRCMP_EQUAL("open", Placed[0].Target.Instance.c_str());
+  CHECK_EQUAL(0, Refused.size());
+}
+
+TEST(Placing, whatPeersHaveRunningTakesSlots) {
+  target("only", 3);
+  std::vector<TargetUse> Use = {
+      {static_cast<uint32_t>(hash64("only")), 2, 0}};
+  Pool->peerUse(HostId{9}, Use, Now);
+  Pool->enqueue(ask(0));
+  Pool->enqueue(ask(0));
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+  Pool->forgetPeer(HostId{9});
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+}
+
+TEST(Placing, urgentGoesFirstWhateverCameFirst) {
+  target("only", 1);
+  Pool->enqueue(ask(2));
+  PlaceAsk Urgent = ask(0);
+  Pool->enqueue(Urgent);
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+  CHECK(Placed[0].Run == Urgent.Run);
+}
+
+// A burst longer than the objective: with the earliest due first, each place
+// would go to a request that is late already.
+TEST(Placing, inABurstPlacesGoToWhatCanStillBeOnTime) {
+  target("only", 1);
+  Pool->enqueue(ask(0));
+  decide();
+  PlaceAsk Old = ask(0, millis(500), millis(1400));
+  Pool->enqueue(Old);
+  decide();
+  Now += millis(600);
+  PlaceAsk New = ask(0);
+  Pool->enqueue(New);
+  decide();
+  CHECK_EQUAL(0, Placed.size());
+  Pool->ended(RunId{1}, RunSign::Served, Now);
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+  CHECK(Placed[0].Run == New.Run);
+}
+
+TEST(Placing, aFirstTimerThatIsLateIsAskedBackAtOnceAndAReturnerWaits) {
+  target("only", 1);
+  Pool->enqueue(ask(0));
+  decide();
+  PlaceAsk First = ask(0);
+  PlaceAsk Back = ask(0);
+  Back.Returned = true;
+  Pool->enqueue(First);
+  Pool->enqueue(Back);
+  Now += millis(600);
+  decide();
+  CHECK_EQUAL(1, Refused.size());
+  CHECK(Refused[0].Run == First.Run);
+  CHECK(Refused[0].RetryAfter.count() > 0);
+  CHECK(Refused[0].RetryAfter < (First.Deadline - Now) / 3);
+  Pool->ended(RunId{1}, RunSign::Served, Now);
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+  CHECK(Placed[0].Run == Back.Run);
+}
+
+// A crashed target looks empty; without suspicion it takes every request.
+TEST(Placing, aTargetThatCannotBeReachedGetsOneProbeAtATime) {
+  target("dead", 8);
+  target("b", 8);
+  target("c", 8);
+  PlaceAsk First = ask(0);
+  // Fill the others a little so that the dead one looks best.
+  std::vector<TargetUse> Use = {{static_cast<uint32_t>(hash64("b")), 4, 9000},
+                                {static_cast<uint32_t>(hash64("c")), 4, 9000}};
+  Pool->peerUse(HostId{9}, Use, Now);
+  Pool->enqueue(First);
+  decide();
+  STRCMP_EQUAL("dead", Placed[0].Target.Instance.c_str());
+  Pool->ended(First.Run, RunSign::Unreachable, Now);
+  for (int I = 0; I < 5; ++I) {
+    Pool->enqueue(ask(0));
+  }
+  decide();
+  CHECK_EQUAL(5, Placed.size());
+  for (const Placement &P : Placed) {
+    CHECK(P.Target.Instance != "dead");
+  }
+  Now += millis(300);
+  for (int I = 0; I < 3; ++I) {
+    Pool->enqueue(ask(0));
+  }
+  decide();
+  RunId Probe;
+  for (const Placement &P : Placed) {
+    if (P.Target.Instance == "dead") {
+      CHECK_FALSE(Probe.isValid());
+      Probe = P.Run;
+    }
+  }
+  CHECK(Probe.isValid());
+  Pool->ended(Probe, RunSign::Served, Now);
+  for (int I = 0; I < 3; ++I) {
+    Pool->enqueue(ask(0));
+  }
+  decide();
+  uint32_t Back = 0;
+  for (const Placement &P : Placed) {
+    Back += P.Target.Instance == "dead" ? 1 : 0;
+  }
+  CHECK(Back > 1);
+}
+
+TEST(Placing, aFaultOfAllTargetsDoesNotEmptyThePool) {
+  for (const char *Name : {"a", "b", "c"}) {
+    target(Name, 8);
+  }
+  for (int Round = 0; Round < 12; ++Round) {
+    PlaceAsk A = ask(0);
+    Pool->enqueue(A);
+    decide();
+    CHECK_EQUAL(1, Placed.size());
+    Pool->ended(A.Run, RunSign::Failed, Now);
+  }
+}
+
+TEST(Placing, theOwnDomainIsPreferredWhileItIsQuick) {
+  target("far", 8, "south");
+  target("near", 8);
+  Pool->enqueue(ask(0));
+  decide();
+  STRCMP_EQUAL("near", Placed[0].Target.Instance.c_str());
+}
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,100 @@
+// The platform's objects, decoded once into the scheduler's types.
+#include "platform_objects.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+using nlohmann::json;
+
+TEST_GROUP(PlatformObjects) {
+  static json configuration() {
+    return json::parse(R"({"version":7,
+      "routes":[
+        {"name":"r1","host":"h.example","path-prefix":"/a/",
+         "route-kind":"streaming","timeout-ms":12000,"target-latency-ms":500,
+         "priority":1,"service":"llm","max-attempts":2,
+         "stream-resumption":true,"gap-target-ms":400},
+        {"name":"r2","host":"h.example","path-prefix":"/a/b/",
+         "route-kind":"non_idempotent","timeout-ms":1000,
+         "target-latency-ms":250,
+         "traffic-split":[{"service":"app","weight":9},
+                          {"service":"new","weight":1}]},
+        {"name":"r3","host":"o.example","path-prefix":"/",
+         "route-kind":"idempotent","service":"app","anonymous-access":true}],
+      "services":[
+        {"name":"llm","connection-limit":360,
+         "inference-engine":{"concurrency-slots":8}},
+        {"name":"app","connection-limit":96},{"name":"new"}],
+      "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+                "header-timeout-ms":3000,"idle-timeout-ms":15000},
+      "tenants":[{"name":"t1","api-keys":["k1","k2"],"unit":"token_count",
+                  "uncached-tokens":200,"rate-per-s":1000,
+                  "burst-size":2000}]})");
+  }
+  static json server() {
+    return json::parse(R"({"service":"llm","address":"10.0.0.9:8080",
+      "availability-zone":"z1","version":"v1","concurrency-slots":8,
+      "lifecycle-state":"ready","cold-remaining-ms":0,"sequence-number":4,
+      "born":1700000000000})");
+  }
+};
+
+TEST(PlatformObjects, configurationIsDecodedWithItsRules) {
+  std::shared_ptr<const RoutingConfig> C =
+      platform::decodeConfig(configuration());
+  CHECK_EQUAL(7, C->Version);
+  const Route *Short = C->match("h.example:8221", "/a/x?y=/a/b/");
+  STRCMP_EQUAL("r1", Short->Name.c_str());
+  CHECK(Short->repeatable());
+  CHECK_EQUAL(2, Short->MaxAttempts);
+  const Route *Long = C->match("h.example", "/a/b/c");
+  STRCMP_EQUAL("r2", Long->Name.c_str());
+  CHECK_FALSE(Long->repeatable());
+  CHECK_EQUAL(2, Long->Shares.size());
+  POINTERS_EQUAL(nullptr, C->match("h.example", "/ab/c"));
+  POINTERS_EQUAL(nullptr, C->match("x.example", "/a/"));
+  CHECK(C->match("o.example", "/anything/2f")->Anonymous);
+  CHECK(C->service(serviceId("llm"))->Engine);
+  CHECK(C->CustomerByKey.at("k2") == customerId("t1"));
+  const FrontCustomer *Customer = C->customer(customerId("t1"));
+  DOUBLES_EQUAL(1460 + 80, FleetQuota::amount(*Customer, true, 1540), 0.1);
+  DOUBLES_EQUAL(200, FleetQuota::amount(*Customer, false, 0), 0.1);
+}
+
+TEST(PlatformObjects, aServersEntryNamesItsRun) {
+  TargetEntry T = platform::decodeTarget("i-1", server());
+  CHECK_EQUAL(8, T.Slots);
+  CHECK_FALSE(T.Leaving);
+  json Again = server();
+  Again["born"] = 1700000009000;
+  CHECK(T.identity() != platform::decodeTarget("i-1", Again).identity());
+}
+
+TEST(PlatformObjects, entriesOfOtherWritersAreMistakesNotTargets) {
+  std::vector<std::pair<const char *, json>> Bad = {
+      {"lifecycle-state", "starting"}, {"concurrency-slots", "8"},
+      {"concurrency-slots", 0},        {"address", "nowhere"},
+      {"service", 5},                  {"sequence-number", 1.5},
+      {"sequence-number", nullptr},    {"born", "x"}};
+  for (const auto &Change : Bad) {
+    json Entry = server();
+    Entry[Change.first] = Change.second;
+    json Object{{"metadata", {{"name", "i-1"}, {"revision", 3}}},
+                {"specification", Entry}};
+    DirectoryObject O =
+        platform::decodeObject(DirectoryKind::Targets, Object, false);
+    CHECK_TEXT(!O.Mistake.empty(), Change.first);
+    CHECK_FALSE(O.Target.has_value());
+  }
+}
+
+TEST(PlatformObjects, aHostsEntrySurvivesTheStore) {
+  FleetHost H;
+  H.Name = "h1";
+  H.At = parseAddress("10.1.0.2:7600");
+  H.Domain = "z1";
+  H.Run = 99;
+  FleetHost Back = platform::decodeHost("h1", platform::encodeHost(H));
+  STRCMP_EQUAL("10.1.0.2:7600", Back.At.text().c_str());
+  CHECK_EQUAL(99, Back.Run);
+}
