--- a/src/front_task.cpp
+++ b/src/front_task.cpp
@@ -119,6 +119,10 @@
   event_add(this->Sweep, &Every);
 }
 
+Address FrontTask::address() const {
+  return boundAddress(evconnlistener_get_fd(this->Listener));
+}
+
 FrontTask::~FrontTask() {
   this->Connections.clear();
   event_free(this->Sweep);
--- a/src/front_task_p.h
+++ b/src/front_task_p.h
@@ -76,6 +76,8 @@
   FrontTask(const FrontTask &) = delete;
   FrontTask &operator=(const FrontTask &) = delete;
 
+  /// Where it listens; the port was chosen by the system if zero was asked.
+  Address address() const;
   void setLimits(const CallerLimits &Limits) { this->Limits = Limits; }
   void answer(ExchangeId Exchange, const CallerAnswer &Answer);
   /// Begins an answer whose length is not known; parts follow.
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -78,6 +78,7 @@
   void forgetPeer(HostId Peer);
   std::vector<TargetUse> ownUse() const;
   RelayStats stats() const;
+  Address callerAddress() const { return this->Front.address(); }
   FrontStats frontStats() const { return this->Front.stats(); }
   WireStats wireStats() const { return this->Wire.stats(); }
   bool idle() const { return this->Relays.empty(); }
--- a/src/sockets.cpp
+++ b/src/sockets.cpp
@@ -14,6 +14,15 @@
   return To;
 }
 
+Address boundAddress(int Fd) {
+  sockaddr_in At{};
+  socklen_t Length = sizeof(At);
+  getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Length);
+  char Text[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &At.sin_addr, Text, sizeof(Text));
+  return Address{Text, ntohs(At.sin_port)};
+}
+
 timeval toTimeval(Duration D) {
   timeval T;
   T.tv_sec = D.count() / 1000000;
--- a/src/sockets_p.h
+++ b/src/sockets_p.h
@@ -13,6 +13,8 @@
 namespace shallotlatch {
 
 sockaddr_in toSockaddr(const Address &At);
+/// Local address of a bound socket.
+Address boundAddress(int Fd);
 timeval toTimeval(Duration D);
 /// Destroys \p Object in the loop's next turn.
 void deferDelete(event_base *Base, std::shared_ptr<void> Object);
--- /dev/null
+++ b/tests/relay_harness.cpp
@@ -0,0 +1,321 @@
+#include "relay_harness.h"
+
+#include "sockets_p.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <sys/socket.h>
+
+namespace shallotlatch {
+
+// Turns of the loop, each at most 10 ms, before a condition is given up.
+static constexpr int MaxTurns = 3000;
+
+static std::string idOf(const std::string &Request) {
+  size_t At = Request.find("X-Id: ");
+  return At == std::string::npos
+             ? ""
+             : Request.substr(At + 6, Request.find("\r\n", At) - At - 6);
+}
+
+struct ScriptedTarget::Link {
+  ScriptedTarget *Owner;
+  bufferevent *Socket;
+  std::string Input;
+  bool Open = true;
+
+  ~Link() {
+    if (this->Open) {
+      bufferevent_free(this->Socket);
+    }
+  }
+  void drop(bool Reset) {
+    if (Reset) {
+      linger Now{1, 0};
+      setsockopt(bufferevent_getfd(this->Socket), SOL_SOCKET, SO_LINGER, &Now,
+                 sizeof(Now));
+    }
+    bufferevent_free(this->Socket);
+    this->Open = false;
+  }
+  void act(const TargetStep &Step, const std::string &Request) {
+    std::string Bytes = Step.Bytes;
+    size_t At = Bytes.find("@ID@");
+    while (At != std::string::npos) {
+      Bytes.replace(At, 4, idOf(Request));
+      At = Bytes.find("@ID@");
+    }
+    // Written at once, so that a close or a reset comes after the bytes.
+    size_t Sent = 0;
+    while (Sent < Bytes.size()) {
+      ssize_t Done =
+          ::send(bufferevent_getfd(this->Socket), Bytes.data() + Sent,
+                 Bytes.size() - Sent, MSG_NOSIGNAL);
+      if (Done <= 0) {
+        break;
+      }
+      Sent += static_cast<size_t>(Done);
+    }
+    if (Step.After == TargetStep::Then::Close ||
+        Step.After == TargetStep::Then::Reset) {
+      this->drop(Step.After == TargetStep::Then::Reset);
+    }
+  }
+  void read() {
+    evbuffer *In = bufferevent_get_input(this->Socket);
+    size_t Length = evbuffer_get_length(In);
+    std::string Part(Length, '\0');
+    evbuffer_remove(In, &Part[0], Length);
+    this->Input += Part;
+    while (this->Open) {
+      size_t Head = this->Input.find("\r\n\r\n");
+      if (Head == std::string::npos) {
+        return;
+      }
+      size_t Body = 0;
+      size_t At = this->Input.find("Content-Length: ");
+      if (At != std::string::npos && At < Head) {
+        Body = strtoul(this->Input.c_str() + At + 16, nullptr, 10);
+      }
+      TargetStep Step = this->Owner->Steps.front();
+      size_t Whole = Head + 4 + (Step.EarlyAnswer ? 0 : Body);
+      if (this->Input.size() < Whole) {
+        return;
+      }
+      std::string Request = this->Input.substr(0, Whole);
+      this->Input.erase(0, Whole);
+      this->Owner->Requests.push_back(Request);
+      if (this->Owner->Steps.size() > 1) {
+        this->Owner->Steps.pop_front();
+      }
+      this->act(Step, Request);
+    }
+  }
+};
+
+ScriptedTarget::ScriptedTarget(event_base *Base, std::string Instance)
+    : Base(Base), Instance(std::move(Instance)) {
+  sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
+  auto OnAccept = [](evconnlistener *, evutil_socket_t Fd, sockaddr *, int,
+                     void *Arg) {
+    ScriptedTarget *T = static_cast<ScriptedTarget *>(Arg);
+    ++T->Connections;
+    std::unique_ptr<Link> L = std::make_unique<Link>();
+    L->Owner = T;
+    L->Socket = bufferevent_socket_new(T->Base, Fd, BEV_OPT_CLOSE_ON_FREE);
+    auto OnRead = [](bufferevent *, void *Of) {
+      static_cast<Link *>(Of)->read();
+    };
+    auto OnEvent = [](bufferevent *, short, void *Of) {
+      Link *Ended = static_cast<Link *>(Of);
+      ++Ended->Owner->Closed;
+      Ended->drop(false);
+    };
+    bufferevent_setcb(L->Socket, OnRead, nullptr, OnEvent, L.get());
+    bufferevent_enable(L->Socket, EV_READ);
+    T->Links.push_back(std::move(L));
+  };
+  this->Listener = evconnlistener_new_bind(
+      Base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 16,
+      reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+  this->At = boundAddress(evconnlistener_get_fd(this->Listener));
+  this->Steps.push_back({goodAnswer("fine"), TargetStep::Then::Keep, false});
+}
+
+ScriptedTarget::~ScriptedTarget() {
+  this->Links.clear();
+  evconnlistener_free(this->Listener);
+}
+
+TargetEntry ScriptedTarget::entry() const {
+  TargetEntry T;
+  T.Instance = this->Instance;
+  T.Service = serviceId("app");
+  T.At = this->At;
+  T.Domain = "north";
+  T.Slots = 4;
+  return T;
+}
+
+void FixedStore::list(DirectoryKind Kind, const std::string &, Reply Done) {
+  DirectoryReply R;
+  R.Result = DirectoryReply::Status::Ok;
+  R.At = 5;
+  if (Kind == DirectoryKind::Config) {
+    DirectoryObject O;
+    O.Name = "main";
+    O.Revision = 5;
+    O.Config = this->Config;
+    R.Objects.push_back(O);
+  }
+  Done(std::move(R));
+}
+
+static Route route(const char *Name, RouteKind Kind, uint32_t Attempts,
+                   bool Resumable) {
+  Route R;
+  R.Name = Name;
+  R.Id = RouteId{static_cast<uint32_t>(hash64(Name))};
+  R.Host = "h";
+  R.PathPrefix = std::string("/") + Name + "/";
+  R.Kind = Kind;
+  R.MaxAttempts = Attempts;
+  R.Resumable = Resumable;
+  R.Shares.push_back({serviceId("app"), 1});
+  return R;
+}
+
+RelayHarness::RelayHarness() : Base(event_base_new()) {
+  std::shared_ptr<RoutingConfig> C = std::make_shared<RoutingConfig>();
+  C->Version = 1;
+  C->Routes = {route("safe", RouteKind::Idempotent, 2, false),
+               route("once", RouteKind::NonIdempotent, 2, false),
+               route("stream", RouteKind::Stream, 2, false),
+               route("resume", RouteKind::Stream, 3, true)};
+  ServiceSpec S;
+  S.Name = "app";
+  S.Id = serviceId("app");
+  C->Services[S.Id] = S;
+  FrontCustomer Customer;
+  Customer.Name = "customer";
+  Customer.Id = customerId("customer");
+  C->Customers[Customer.Id] = Customer;
+  C->CustomerByKey["good"] = Customer.Id;
+  C->RequiresKeys = true;
+  C->index();
+  this->Store.Config = C;
+  this->Beliefs = std::make_unique<Directory>(this->Store, this->Ignored, 1);
+  this->Beliefs->start(FleetHost(), bootTime());
+  RelayInit Init;
+  Init.Domain = "north";
+  Init.Budget.Extra = 100;
+  Init.KeyAgeLimit = seconds(3600);
+  Init.FreshAge = seconds(3600);
+  Init.Headers.RequestId = "X-Id";
+  Init.Headers.DeadlineMs = "X-Deadline";
+  Init.Headers.Customer = "X-Customer";
+  Init.Headers.ExpectInstance = "X-Expect";
+  Init.Headers.Stamp = "X-Stamp";
+  Init.Headers.NotRun = "X-Not-Run";
+  Init.Headers.TokenCounts = "X-Tokens";
+  Init.Headers.KeyScheme = "Token";
+  Init.Headers.NotFromCallers = {"X-Customer", "X-Expect", "X-Secret"};
+  FrontInit Front;
+  Front.At = Address{"127.0.0.1", 0};
+  this->Relay =
+      std::make_unique<RelayTable>(this->Base, Front, Init, *this->Beliefs);
+  this->Relay->configure(C);
+}
+
+RelayHarness::~RelayHarness() {
+  for (std::unique_ptr<Caller> &C : this->Callers) {
+    if (C->Socket != nullptr) {
+      bufferevent_free(C->Socket);
+    }
+  }
+  this->Targets.clear();
+  this->Relay.reset();
+  event_base_loop(this->Base, EVLOOP_NONBLOCK);
+  event_base_free(this->Base);
+}
+
+ScriptedTarget &RelayHarness::target(const std::string &Instance) {
+  this->Targets.push_back(
+      std::make_unique<ScriptedTarget>(this->Base, Instance));
+  this->Relay->setTarget(this->Targets.back()->entry());
+  return *this->Targets.back();
+}
+
+size_t RelayHarness::connect() {
+  std::unique_ptr<Caller> C = std::make_unique<Caller>();
+  C->Socket = bufferevent_socket_new(this->Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  auto OnRead = [](bufferevent *Socket, void *Arg) {
+    evbuffer *In = bufferevent_get_input(Socket);
+    size_t Length = evbuffer_get_length(In);
+    std::string Part(Length, '\0');
+    evbuffer_remove(In, &Part[0], Length);
+    static_cast<Caller *>(Arg)->Received += Part;
+  };
+  auto OnEvent = [](bufferevent *, short What, void *Arg) {
+    if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      static_cast<Caller *>(Arg)->Closed = true;
+    }
+  };
+  bufferevent_setcb(C->Socket, OnRead, nullptr, OnEvent, C.get());
+  bufferevent_enable(C->Socket, EV_READ | EV_WRITE);
+  sockaddr_in To = toSockaddr(this->Relay->callerAddress());
+  bufferevent_socket_connect(C->Socket, reinterpret_cast<sockaddr *>(&To),
+                             sizeof(To));
+  this->Callers.push_back(std::move(C));
+  return this->Callers.size() - 1;
+}
+
+void RelayHarness::send(size_t Caller, const std::string &Bytes) {
+  bufferevent_write(this->Callers[Caller]->Socket, Bytes.data(), Bytes.size());
+}
+
+void RelayHarness::close(size_t Caller) {
+  bufferevent_free(this->Callers[Caller]->Socket);
+  this->Callers[Caller]->Socket = nullptr;
+}
+
+const std::string &RelayHarness::received(size_t Caller) const {
+  return this->Callers[Caller]->Received;
+}
+
+bool RelayHarness::closed(size_t Caller) const {
+  return this->Callers[Caller]->Closed;
+}
+
+bool RelayHarness::until(const std::function<bool()> &Condition) {
+  timeval Turn{0, 10000};
+  for (int I = 0; I < MaxTurns; ++I) {
+    if (Condition()) {
+      return true;
+    }
+    event_base_loopexit(this->Base, &Turn);
+    event_base_loop(this->Base, EVLOOP_ONCE);
+    this->Relay->tick();
+  }
+  return false;
+}
+
+std::string RelayHarness::ask(const std::string &Path, const std::string &Id,
+                              const std::string &Await,
+                              const std::string &Extra,
+                              const std::string &Key) {
+  size_t Caller = this->connect();
+  this->send(Caller, "POST " + Path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                         "\r\nX-Deadline: 20000\r\nAuthorization: Token " +
+                         Key + "\r\n" + Extra +
+                         "Content-Length: 4\r\n\r\nbody");
+  this->until([this, Caller, &Await] {
+    return this->closed(Caller) ||
+           this->received(Caller).find(Await) != std::string::npos;
+  });
+  return this->received(Caller);
+}
+
+std::string goodAnswer(const std::string &Body, const char *Status) {
+  return std::string("HTTP/1.1 ") + Status +
+         "\r\nX-Id: @ID@\r\nX-Stamp: s1\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string streamHead() {
+  return "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s1\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string streamEvent(int Number) {
+  std::string Text = "id: " + std::to_string(Number) + "\ndata: e" +
+                     std::to_string(Number) + "\n\n";
+  char Size[16];
+  snprintf(Size, sizeof(Size), "%zx\r\n", Text.size());
+  return Size + Text + "\r\n";
+}
+
+} // namespace shallotlatch
--- a/tests/test_http_message.cpp
+++ b/tests/test_http_message.cpp
@@ -23,7 +23,7 @@
 TEST_GROUP(HttpMessage) {
   Recorder Seen;
 
-  FeedResult feed(HttpReader &R, const std::string &Bytes, size_t Step = 1) {
+  FeedResult feed(HttpReader & R, const std::string &Bytes, size_t Step = 1) {
     FeedResult Last = FeedResult::NeedMore;
     for (size_t At = 0; At < Bytes.size() && Last == FeedResult::NeedMore;) {
       size_t Used = 0;
@@ -58,7 +58,8 @@
 
 TEST(HttpMessage, leavesTheNextRequestUnread) {
   HttpReader R(HttpRole::Requests, Seen, 4096);
-  std::string First = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  std::string First =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
   size_t Used = 0;
   CHECK(R.feed(First + "GET /x HTTP/1.1\r\n", Used) == FeedResult::Complete);
   CHECK_EQUAL(First.size(), Used);
--- a/tests/test_place_pool.cpp
+++ b/tests/test_place_pool.cpp
@@ -55,8 +55,7 @@
 
 TEST(Placing, whatPeersHaveRunningTakesSlots) {
   target("only", 3);
-  std::vector<TargetUse> Use = {
-      {static_cast<uint32_t>(hash64("only")), 2, 0}};
+  std::vector<TargetUse> Use = {{static_cast<uint32_t>(hash64("only")), 2, 0}};
   Pool->peerUse(HostId{9}, Use, Now);
   Pool->enqueue(ask(0));
   Pool->enqueue(ask(0));
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -6,9 +6,8 @@
 using namespace shallotlatch;
 using nlohmann::json;
 
-TEST_GROUP(PlatformObjects) {
-  static json configuration() {
-    return json::parse(R"({"version":7,
+TEST_GROUP(PlatformObjects){
+    static json configuration(){return json::parse(R"({"version":7,
       "routes":[
         {"name":"r1","host":"h.example","path-prefix":"/a/",
          "route-kind":"streaming","timeout-ms":12000,"target-latency-ms":500,
@@ -30,14 +29,15 @@
       "tenants":[{"name":"t1","api-keys":["k1","k2"],"unit":"token_count",
                   "uncached-tokens":200,"rate-per-s":1000,
                   "burst-size":2000}]})");
-  }
-  static json server() {
-    return json::parse(R"({"service":"llm","address":"10.0.0.9:8080",
+}
+static json server() {
+  return json::parse(R"({"service":"llm","address":"10.0.0.9:8080",
       "availability-zone":"z1","version":"v1","concurrency-slots":8,
       "lifecycle-state":"ready","cold-remaining-ms":0,"sequence-number":4,
       "born":1700000000000})");
-  }
-};
+}
+}
+;
 
 TEST(PlatformObjects, configurationIsDecodedWithItsRules) {
   std::shared_ptr<const RoutingConfig> C =
@@ -72,10 +72,14 @@
 
 TEST(PlatformObjects, entriesOfOtherWritersAreMistakesNotTargets) {
   std::vector<std::pair<const char *, json>> Bad = {
-      {"lifecycle-state", "starting"}, {"concurrency-slots", "8"},
-      {"concurrency-slots", 0},        {"address", "nowhere"},
-      {"service", 5},                  {"sequence-number", 1.5},
-      {"sequence-number", nullptr},    {"born", "x"}};
+      {"lifecycle-state", "starting"},
+      {"concurrency-slots", "8"},
+      {"concurrency-slots", 0},
+      {"address", "nowhere"},
+      {"service", 5},
+      {"sequence-number", 1.5},
+      {"sequence-number", nullptr},
+      {"born", "x"}};
   for (const auto &Change : Bad) {
     json Entry = server();
     Entry[Change.first] = Change.second;
--- /dev/null
+++ b/tests/test_relay.cpp
@@ -0,0 +1,264 @@
+// Requests from a caller's socket to a target's and back: what may be sent
+// again, what callers are told, and what never reaches them.
+#include "relay_harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+using Then = TargetStep::Then;
+
+static bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+TEST_GROUP(Relaying) {
+  std::unique_ptr<RelayHarness> H = std::make_unique<RelayHarness>();
+
+  /// Runs of all targets.
+  static size_t runs(const ScriptedTarget &A, const ScriptedTarget &B) {
+    return A.Requests.size() + B.Requests.size();
+  }
+  static void script(ScriptedTarget & T, std::vector<TargetStep> Steps) {
+    T.Steps.assign(Steps.begin(), Steps.end());
+  }
+};
+
+TEST(Relaying, aRequestIsPassedOnAndItsAnswerComesBackUnchanged) {
+  ScriptedTarget &T = H->target("i-1");
+  std::string Got = H->ask("/safe/x?q=1", "r1", "fine",
+                           "X-Other: kept\r\nX-Secret: dropped\r\n"
+                           "X-Customer: forged\r\n");
+  CHECK(contains(Got, "HTTP/1.1 200 OK"));
+  CHECK(contains(Got, "X-Stamp: s1"));
+  const std::string &Sent = T.Requests.at(0);
+  CHECK(contains(Sent, "POST /safe/x?q=1 HTTP/1.1\r\n"));
+  CHECK(contains(Sent, "X-Id: r1\r\n"));
+  CHECK(contains(Sent, "X-Other: kept\r\n"));
+  CHECK(contains(Sent, "X-Expect: i-1\r\n"));
+  CHECK(contains(Sent, "X-Customer: customer\r\n"));
+  CHECK(contains(Sent, "\r\n\r\nbody"));
+  CHECK_FALSE(contains(Sent, "dropped"));
+  CHECK_FALSE(contains(Sent, "forged"));
+  CHECK_FALSE(contains(Sent, "good")); // The key itself.
+}
+
+TEST(Relaying, unknownKeysAndRoutesNeverReachATarget) {
+  ScriptedTarget &T = H->target("i-1");
+  CHECK(contains(H->ask("/safe/x", "r1", "\r\n\r\n", "", "bad"), " 401 "));
+  CHECK(contains(H->ask("/none/x", "r2", "\r\n\r\n"), " 404 "));
+  CHECK_EQUAL(0, T.Requests.size());
+}
+
+TEST(Relaying, anIdempotentRequestSurvivesAResetOnce) {
+  ScriptedTarget &A = H->target("i-1");
+  ScriptedTarget &B = H->target("i-2");
+  script(A, {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
+  script(B, {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
+  // Both targets reset their first request: the second attempt is the last.
+  CHECK(contains(H->ask("/safe/x", "r1", "\r\n\r\n"), " 502 "));
+  CHECK_EQUAL(2, runs(A, B));
+  CHECK(contains(H->ask("/safe/x", "r2", "fine"), " 200 "));
+}
+
+TEST(Relaying, aOnceOnlyRequestIsNeverSentAgainAfterItLeft) {
+  ScriptedTarget &A = H->target("i-1");
+  ScriptedTarget &B = H->target("i-2");
+  for (const char *Bytes : {"", "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n"
+                                "Content-Length: 9\r\n\r\nshort",
+                            "garbage that is no answer\r\n\r\n"}) {
+    script(A, {{Bytes, Then::Close, false}});
+    script(B, {{Bytes, Then::Close, false}});
+    size_t Before = runs(A, B);
+    std::string Got = H->ask("/once/x", "r1", "\r\n\r\n");
+    CHECK(contains(Got, " 502 "));
+    CHECK_FALSE(contains(Got, "Retry-After"));
+    CHECK_EQUAL(Before + 1, runs(A, B));
+  }
+}
+
+TEST(Relaying, aRefusalThatProvesNotRunGoesToAnotherTarget) {
+  ScriptedTarget &A = H->target("i-1");
+  ScriptedTarget &B = H->target("i-2");
+  std::string Full = "HTTP/1.1 503 Full\r\nX-Id: @ID@\r\nX-Not-Run: 1\r\n"
+                     "Content-Length: 0\r\n\r\n";
+  script(A, {{Full, Then::Keep, false}});
+  script(B, {{goodAnswer("fine"), Then::Keep, false}});
+  CHECK(contains(H->ask("/once/x", "r1", "fine"), " 200 "));
+  script(B, {{Full, Then::Keep, false}});
+  std::string Got = H->ask("/once/x", "r2", "\r\n\r\n");
+  CHECK(contains(Got, " 503 "));
+  CHECK(contains(Got, "Retry-After"));
+}
+
+TEST(Relaying, anotherRequestsAnswerIsReadOver) {
+  ScriptedTarget &A = H->target("i-1");
+  std::string Foreign = "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s0\r\n"
+                        "Content-Length: 5\r\n\r\nwrong";
+  script(A, {{Foreign + goodAnswer("right"), Then::Keep, false}});
+  std::string Got = H->ask("/once/x", "r1", "right");
+  CHECK(contains(Got, "right"));
+  CHECK_FALSE(contains(Got, "wrong"));
+  // The connection that carried it is not used again.
+  script(A, {{goodAnswer("fine"), Then::Keep, false}});
+  H->ask("/once/x", "r2", "fine");
+  CHECK_EQUAL(2, A.Connections);
+}
+
+TEST(Relaying, bytesAfterAWholeAnswerReachNobody) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{goodAnswer("first") + goodAnswer("extra"), Then::Keep, false},
+             {goodAnswer("second"), Then::Keep, false}});
+  CHECK_FALSE(contains(H->ask("/once/x", "r1", "first"), "extra"));
+  std::string Got = H->ask("/once/x", "r2", "second");
+  CHECK(contains(Got, "second"));
+  CHECK_FALSE(contains(Got, "extra"));
+}
+
+TEST(Relaying, anAnswerWithoutProofOrWithAnEncodingIsNotPassedOn) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{"HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nContent-Length: 2\r\n\r\nno",
+              Then::Keep, false}});
+  CHECK(contains(H->ask("/once/x", "r1", "\r\n\r\n"), " 502 "));
+  script(A, {{"HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n"
+              "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+              Then::Keep, false}});
+  CHECK(contains(H->ask("/once/x", "r2", "\r\n\r\n"), " 502 "));
+}
+
+TEST(Relaying, aResetIsNotTheEndOfABodyWithoutLength) {
+  ScriptedTarget &A = H->target("i-1");
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n\r\n";
+  script(A, {{Head + "whole", Then::Close, false}});
+  CHECK(contains(H->ask("/once/x", "r1", "whole"), " 200 "));
+  script(A, {{Head + "part", Then::Reset, false}});
+  std::string Got = H->ask("/once/x", "r2", "\r\n\r\n");
+  CHECK(contains(Got, " 502 "));
+  CHECK_FALSE(contains(Got, "part"));
+}
+
+TEST(Relaying, anEarlyAnswerDoesNotLeaveItsBodyToTheNextRequest) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{goodAnswer("too long", "413 Too Long"), Then::Keep, true},
+             {goodAnswer("fine"), Then::Keep, false}});
+  CHECK(contains(H->ask("/once/x", "r1", "too long"), " 413 "));
+  CHECK(contains(H->ask("/once/x", "r2", "fine"), " 200 "));
+  CHECK(contains(A.Requests.back(), "X-Id: r2"));
+}
+
+TEST(Relaying, streamEventsArePassedOnWholeAndAsTheyCome) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{streamHead() + streamEvent(1), Then::Hold, false}});
+  std::string Got = H->ask("/stream/x", "r1", "e1");
+  CHECK(contains(Got, "id: 1\ndata: e1\n\n"));
+  CHECK_FALSE(contains(Got, "\r\n0\r\n"));
+}
+
+TEST(Relaying, aStreamThatBreaksNeverLooksComplete) {
+  ScriptedTarget &A = H->target("i-1");
+  ScriptedTarget &B = H->target("i-2");
+  std::string Torn = streamHead() + streamEvent(1) + "9\r\nid: 2\nda\r\n";
+  for (Then End : {Then::Close, Then::Reset}) {
+    script(A, {{Torn, End, false}});
+    script(B, {{Torn, End, false}});
+    size_t Before = runs(A, B);
+    std::string Got = H->ask("/stream/x", "r1", "never sent");
+    CHECK_FALSE(contains(Got, "0\r\n\r\n"));
+    CHECK_FALSE(contains(Got, "id: 2"));
+    CHECK_EQUAL(Before + 1, runs(A, B));
+  }
+  std::string TornWhole =
+      streamHead() + streamEvent(1) + "9\r\nid: 2\nda\r\n0\r\n\r\n";
+  script(A, {{TornWhole, Then::Keep, false}});
+  script(B, {{TornWhole, Then::Keep, false}});
+  CHECK_FALSE(contains(H->ask("/stream/x", "r2", "never"), "0\r\n\r\n"));
+}
+
+TEST(Relaying, aResumableStreamGoesOnAtAnotherTargetWithoutAJoint) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{streamHead() + streamEvent(1) + streamEvent(2) +
+                  "9\r\nid: 3\nda\r\n",
+              Then::Reset, false}});
+  size_t Caller = H->connect();
+  H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "X-Deadline: 20000\r\nAuthorization: Token good\r\n"
+                  "Content-Length: 0\r\n\r\n");
+  CHECK(H->until([&] { return A.Requests.size() == 1; }));
+  ScriptedTarget &B = H->target("i-2");
+  script(B, {{streamHead() + streamEvent(3) + "0\r\n\r\n", Then::Keep, false}});
+  CHECK(H->until(
+      [&] { return contains(H->received(Caller), "0\r\n\r\n"); }));
+  CHECK(contains(B.Requests.at(0), "Last-Event-Id: 2\r\n"));
+  std::string Got = H->received(Caller);
+  for (const char *Part : {"data: e1", "data: e2", "data: e3"}) {
+    size_t At = Got.find(Part);
+    CHECK(At != std::string::npos);
+    CHECK(Got.find(Part, At + 1) == std::string::npos);
+  }
+}
+
+TEST(Relaying, aCallerThatLeavesStopsItsWorkAtTheTarget) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{streamHead() + streamEvent(1), Then::Hold, false}});
+  size_t Caller = H->connect();
+  H->send(Caller, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "Authorization: Token good\r\nContent-Length: 0\r\n\r\n");
+  CHECK(H->until([&] { return contains(H->received(Caller), "e1"); }));
+  H->close(Caller);
+  CHECK(H->until([&] { return A.Closed == 1; }));
+  CHECK_EQUAL(0, H->relay().stats().Held);
+}
+
+TEST(Relaying, smuggledBytesAreRefusedAndTheConnectionEnds) {
+  ScriptedTarget &A = H->target("i-1");
+  size_t Caller = H->connect();
+  H->send(Caller, "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "Authorization: Token good\r\nContent-Length: 5\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                  "GET /safe/hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(H->until([&] { return H->closed(Caller); }));
+  CHECK(contains(H->received(Caller), " 400 "));
+  CHECK_EQUAL(0, A.Requests.size());
+}
+
+TEST(Relaying, requestsOnOneConnectionAreAnsweredInOrder) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{goodAnswer("one"), Then::Keep, false},
+             {goodAnswer("two"), Then::Keep, false}});
+  size_t Caller = H->connect();
+  for (const char *Id : {"r1", "r2"}) {
+    H->send(Caller, std::string("GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: ") +
+                        Id + "\r\nAuthorization: Token good\r\n\r\n");
+  }
+  CHECK(H->until([&] { return contains(H->received(Caller), "two"); }));
+  CHECK(H->received(Caller).find("one") < H->received(Caller).find("two"));
+  CHECK_EQUAL(1, A.Connections);
+}
+
+TEST(Relaying, nothingNewGoesToALeavingTarget) {
+  ScriptedTarget &A = H->target("i-1");
+  ScriptedTarget &B = H->target("i-2");
+  TargetEntry Leaving = A.entry();
+  Leaving.Leaving = true;
+  H->relay().setTarget(Leaving);
+  for (int I = 0; I < 6; ++I) {
+    H->ask("/safe/x", "r" + std::to_string(I), "fine");
+  }
+  CHECK_EQUAL(0, A.Requests.size());
+  CHECK_EQUAL(6, B.Requests.size());
+}
+
+TEST(Relaying, aDrainingHostRefusesNewWorkAndFinishesWhatItHolds) {
+  ScriptedTarget &A = H->target("i-1");
+  script(A, {{streamHead() + streamEvent(1), Then::Hold, false}});
+  size_t Held = H->connect();
+  H->send(Held, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                "Authorization: Token good\r\nContent-Length: 0\r\n\r\n");
+  CHECK(H->until([&] { return contains(H->received(Held), "e1"); }));
+  H->relay().drain(ProcessClock::now() - seconds(1));
+  H->relay().closeIdle();
+  std::string Got = H->ask("/safe/x", "r2", "\r\n\r\n");
+  CHECK(contains(Got, " 503 "));
+  CHECK(contains(Got, "Connection: close"));
+  CHECK_FALSE(H->closed(Held));
+  CHECK_EQUAL(1, H->relay().stats().Held);
+}
