--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -236,6 +236,8 @@
   void onPeer(const FleetState &State) {
     this->Relays->peerUse(State.Host, State.Targets);
     this->Relays->quota().peerUse(State.Host, State.Run, State.Customers);
+    this->Relays->crashes().peerCounts(State.Host, State.Crashes,
+                                       ProcessClock::now());
     this->Beliefs->peerConfirms(State.ConfigRevision, State.ConfigAge,
                                 bootTime());
   }
@@ -255,6 +257,7 @@
                  Duration(seconds(3600)));
     State.Targets = this->Relays->ownUse();
     State.Customers = this->Relays->quota().ownUse();
+    State.Crashes = this->Relays->crashes().tallies(Now);
     std::string Use;
     for (const TargetUse &U : State.Targets) {
       Use += std::to_string(U.Target) + ":" + std::to_string(U.Running) + ":" +
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -33,13 +33,14 @@
 // so that a lowered one is learned.
 static constexpr int DeadlineDecay = 100000;
 static constexpr Duration NotReadyReturn = millis(500);
+static constexpr Duration QuarantineReturn = seconds(10);
 static constexpr Duration StopReturn = millis(50);
 static constexpr Duration FailReturn = millis(200);
 
 RelayTable::RelayTable(event_base *Base, const FrontInit &Front,
                        const RelayInit &Init, const Directory &Beliefs)
     : Base(Base), Init(Init), Beliefs(Beliefs), Front(Base, Front, *this),
-      Wire(Base, *this), Quota(Init.Slack) {}
+      Wire(Base, *this), Quota(Init.Slack), Crashes(Init.Crashes) {}
 
 RelayTable::~RelayTable() = default;
 
@@ -81,6 +82,7 @@
   if (It != this->Targets.end() &&
       (It->second.Service != Target.Service ||
        It->second.identity() != Target.identity())) {
+    this->Crashes.died(Target.Instance, ProcessClock::now());
     this->Wire.dropIdle(It->second.At, It->second.identity());
     if (It->second.Service != Target.Service) {
       this->service(It->second.Service).Pool->removeTarget(Target.Instance);
@@ -96,6 +98,7 @@
   if (It == this->Targets.end()) {
     return;
   }
+  this->Crashes.died(Instance, ProcessClock::now());
   this->Wire.dropIdle(It->second.At, It->second.identity());
   this->service(It->second.Service).Pool->removeTarget(Instance);
   this->Targets.erase(It);
@@ -169,6 +172,13 @@
     this->refuse(R, 503, "this host is stopping", StopReturn);
     return false;
   }
+  R.Print.Value = hashPair(
+      hash64(R.Ask.Head.Method + " " + R.Ask.Head.Target),
+      hash64(R.Ask.Body, R.Customer == nullptr ? 0 : R.Customer->Id.Value));
+  if (this->Crashes.refused(R.Print, Now)) {
+    this->refuse(R, 503, "its content crashes targets", QuarantineReturn);
+    return false;
+  }
   const std::string *Tokens = R.Ask.Head.find(H.TokenCounts);
   readTokens(Tokens, R.PromptTokens, R.OutputTokens);
   const std::string *Left = R.Ask.Head.find(H.DeadlineMs);
@@ -479,6 +489,7 @@
 bool RelayTable::sendAgain(Relay &R, const char *Why) {
   Time Now = ProcessClock::now();
   bool Allowed = (!R.MayHaveRun || R.Path->repeatable()) &&
+                 !this->Crashes.refused(R.Print, Now) &&
                  R.Attempts < R.Path->MaxAttempts && R.Arrivals < MaxArrivals &&
                  R.Deadline - Now > MinTimeToRepeat &&
                  !(this->Draining && Now > this->DrainUntil);
@@ -510,6 +521,7 @@
   ServiceId Where = R.Service;
   R.Tried.push_back(R.Target.Instance);
   if (How == WireEnd::ConnectFailed) {
+    this->Crashes.died(R.Target.Instance, ProcessClock::now());
     this->leaveTarget(R, RunSign::Unreachable);
     logEvent("connect-failed",
              {{"id", R.RequestId}, {"target", R.Target.Instance}});
@@ -540,6 +552,9 @@
   } else {
     this->leaveTarget(R, RunSign::Lost);
     R.MayHaveRun = true;
+    if (How == WireEnd::Broken) {
+      this->Crashes.broke(R.Target.Instance, R.Print, ProcessClock::now());
+    }
     logEvent("answer-lost", {{"id", R.RequestId},
                              {"target", R.Target.Instance},
                              {"how", name(How)},
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -3,6 +3,7 @@
 /// verdict, and decides what may be sent a second time.
 #pragma once
 
+#include "crash_guard_p.h"
 #include "directory_p.h"
 #include "fleet_quota_p.h"
 #include "front_task_p.h"
@@ -41,6 +42,7 @@
   Duration FreshAge = millis(1500);
   RetryBudgetInit Budget;
   QuotaSlack Slack;
+  CrashGuardInit Crashes;
 };
 
 /// Readable figures of the relay.
@@ -74,6 +76,7 @@
   void endAll();
 
   FleetQuota &quota() { return this->Quota; }
+  CrashGuard &crashes() { return this->Crashes; }
   void peerUse(HostId Peer, const std::vector<TargetUse> &Uses);
   void forgetPeer(HostId Peer);
   std::vector<TargetUse> ownUse() const;
@@ -103,6 +106,7 @@
     const Route *Path = nullptr;
     const FrontCustomer *Customer = nullptr;
     ServiceId Service;
+    Fingerprint Print; ///< Of its content and customer.
     double QuotaAmount = 0;
     double PromptTokens = 0;
     double OutputTokens = 0;
@@ -165,6 +169,7 @@
   FrontTask Front;
   WireClient Wire;
   FleetQuota Quota;
+  CrashGuard Crashes;
   std::shared_ptr<const RoutingConfig> Config;
   std::unordered_map<RunId, std::unique_ptr<Relay>> Relays;
   std::unordered_map<ExchangeId, RunId> ByExchange;
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -117,9 +117,9 @@
     bufferevent_enable(L->Socket, EV_READ);
     T->Links.push_back(std::move(L));
   };
-  this->Listener = evconnlistener_new_bind(
-      Base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 16,
-      reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+  this->Listener =
+      evconnlistener_new_bind(Base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 16,
+                              reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
   this->At = boundAddress(evconnlistener_get_fd(this->Listener));
   this->Steps.push_back({goodAnswer("fine"), TargetStep::Then::Keep, false});
 }
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -36,8 +36,8 @@
   ScriptedTarget &operator=(const ScriptedTarget &) = delete;
 
   TargetEntry entry() const;
-  std::deque<TargetStep> Steps;       ///< Taken in order; the last repeats.
-  std::vector<std::string> Requests;  ///< Every request, whole, as it came.
+  std::deque<TargetStep> Steps;      ///< Taken in order; the last repeats.
+  std::vector<std::string> Requests; ///< Every request, whole, as it came.
   uint32_t Connections = 0;
   uint32_t Closed = 0;
   struct Link;
--- a/tests/test_fleet_limits.cpp
+++ b/tests/test_fleet_limits.cpp
@@ -1,5 +1,5 @@
 // Limits that hold over all hosts together: quotas and the retry budget.
-#include "fleet_link_p.h"
+#include "crash_guard_p.h"
 #include "retry_budget_p.h"
 
 #include <CppUTest/TestHarness.h>
@@ -120,3 +120,27 @@
   FleetState T;
   CHECK_FALSE(decodeFleetState(std::string("\xff\xff\xff\xff\xff\xff", 6), T));
 }
+
+TEST(FleetLimits, crashesThatThreeHostsSawAddUpAndDoNotEcho) {
+  CrashGuard Own{CrashGuardInit{}};
+  Fingerprint Bad{42};
+  Own.broke("t", Bad, Now);
+  Own.died("t", Now);
+  for (int Repeat = 0; Repeat < 5; ++Repeat) {
+    Own.peerCounts(HostId{2}, {{Bad, 1}}, Now);
+    CHECK_FALSE(Own.refused(Bad, Now));
+    CHECK_EQUAL(1, Own.tallies(Now)[0].Count);
+  }
+  Own.peerCounts(HostId{3}, {{Bad, 1}}, Now);
+  CHECK(Own.refused(Bad, Now));
+  CHECK_FALSE(Own.refused(Bad, Now + seconds(61)));
+}
+
+TEST(FleetLimits, aBrokenConnectionToALivingTargetIsNoCrash) {
+  CrashGuard Guard{CrashGuardInit{}};
+  for (int I = 0; I < 5; ++I) {
+    Guard.broke("t", Fingerprint{1}, Now);
+  }
+  Guard.died("t", Now + seconds(10));
+  CHECK_FALSE(Guard.refused(Fingerprint{1}, Now + seconds(10)));
+}
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -52,8 +52,10 @@
 TEST(Relaying, anIdempotentRequestSurvivesAResetOnce) {
   ScriptedTarget &A = H->target("i-1");
   ScriptedTarget &B = H->target("i-2");
-  script(A, {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
-  script(B, {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
+  script(A,
+         {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
+  script(B,
+         {{"", Then::Reset, false}, {goodAnswer("fine"), Then::Keep, false}});
   // Both targets reset their first request: the second attempt is the last.
   CHECK(contains(H->ask("/safe/x", "r1", "\r\n\r\n"), " 502 "));
   CHECK_EQUAL(2, runs(A, B));
@@ -63,8 +65,9 @@
 TEST(Relaying, aOnceOnlyRequestIsNeverSentAgainAfterItLeft) {
   ScriptedTarget &A = H->target("i-1");
   ScriptedTarget &B = H->target("i-2");
-  for (const char *Bytes : {"", "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n"
-                                "Content-Length: 9\r\n\r\nshort",
+  for (const char *Bytes : {"",
+                            "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n"
+                            "Content-Length: 9\r\n\r\nshort",
                             "garbage that is no answer\r\n\r\n"}) {
     script(A, {{Bytes, Then::Close, false}});
     script(B, {{Bytes, Then::Close, false}});
@@ -185,8 +188,7 @@
   CHECK(H->until([&] { return A.Requests.size() == 1; }));
   ScriptedTarget &B = H->target("i-2");
   script(B, {{streamHead() + streamEvent(3) + "0\r\n\r\n", Then::Keep, false}});
-  CHECK(H->until(
-      [&] { return contains(H->received(Caller), "0\r\n\r\n"); }));
+  CHECK(H->until([&] { return contains(H->received(Caller), "0\r\n\r\n"); }));
   CHECK(contains(B.Requests.at(0), "Last-Event-Id: 2\r\n"));
   std::string Got = H->received(Caller);
   for (const char *Part : {"data: e1", "data: e2", "data: e3"}) {
@@ -262,3 +264,21 @@
   CHECK_FALSE(H->closed(Held));
   CHECK_EQUAL(1, H->relay().stats().Held);
 }
+
+// Three crashes of targets under one content; a neighbour's own content, which
+// broke beside it once, is served.
+TEST(Relaying, aContentThatCrashesItsTargetsIsRefusedAfterTheThird) {
+  for (int I = 0; I < 3; ++I) {
+    std::string Name = "i-" + std::to_string(I);
+    ScriptedTarget &T = H->target(Name);
+    script(T, {{"", Then::Reset, false}});
+    CHECK(contains(H->ask("/once/bad", "r" + std::to_string(I), "\r\n\r\n"),
+                   " 502 "));
+    H->relay().removeTarget(Name); // It died of it.
+  }
+  ScriptedTarget &Last = H->target("i-9");
+  std::string Got = H->ask("/once/bad", "r8", "\r\n\r\n");
+  CHECK(contains(Got, " 503 "));
+  CHECK_EQUAL(0, Last.Requests.size());
+  CHECK(contains(H->ask("/once/good", "r9", "fine"), " 200 "));
+}
