--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -71,16 +71,14 @@
 
 bool CrashGuard::refused(Fingerprint Print, Time Now) const {
   auto It = this->Tallies.find(Print);
-  return It != this->Tallies.end() &&
-         It->second.total() >= this->Init.Limit &&
+  return It != this->Tallies.end() && It->second.total() >= this->Init.Limit &&
          Now - It->second.Last < this->Init.Quarantine;
 }
 
 std::vector<CrashTally> CrashGuard::tallies(Time Now) const {
   std::vector<CrashTally> Out;
   for (const auto &Item : this->Tallies) {
-    if (Item.second.Own > 0 &&
-        Now - Item.second.Last < this->Init.Quarantine) {
+    if (Item.second.Own > 0 && Now - Item.second.Last < this->Init.Quarantine) {
       Out.push_back({Item.first, Item.second.Own});
     }
   }
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -51,6 +51,18 @@
     event_add(this->Timer, &Every);
   }
 
+  void stop() {
+    this->flush();
+    if (this->Timer != nullptr) {
+      google::RemoveLogSink(this);
+      event_free(this->Timer);
+      this->Timer = nullptr;
+    }
+    this->Fd = -1;
+    this->Waiting.clear();
+    this->Offset = 0;
+  }
+
   void flush() {
     while (this->Fd >= 0 && this->Offset < this->Waiting.size()) {
       ssize_t Written = write(this->Fd, this->Waiting.data() + this->Offset,
@@ -123,6 +135,8 @@
   ring().start(Base, Fd, Host);
 }
 
+void stopLog() { ring().stop(); }
+
 void flushLog() { ring().flush(); }
 
 } // namespace shallotlatch
--- a/src/event_log_p.h
+++ b/src/event_log_p.h
@@ -38,6 +38,8 @@
 /// Starts writing to descriptor \p Fd without blocking, on \p Base; routes
 /// glog's lines into the same ring. Before this, lines collect in the ring.
 void startLog(event_base *Base, int Fd, const std::string &Host);
+/// Writes what the descriptor takes, forgets the rest and the descriptor.
+void stopLog();
 /// Writes what the descriptor takes at once.
 void flushLog();
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -80,6 +80,7 @@
   std::unique_ptr<RelayTable> Relays;
   std::unique_ptr<FleetLink> Link;
   std::unique_ptr<HttpServer> ReadyServer;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> Watches;
   uint32_t Sequence = 0;
   Time NextNear;
@@ -137,6 +138,15 @@
           sendText(Http, IsReady ? 200 : 503, "text/plain",
                    IsReady ? "ready\n" : "not ready\n");
         });
+    if (Host.MetricsPort != 0) {
+      ListenInit Metrics;
+      Metrics.At =
+          Address{Host.Caller.Ip, static_cast<uint16_t>(Host.MetricsPort)};
+      this->MetricsServer = std::make_unique<HttpServer>(
+          this->Base, Metrics, [this](evhttp_request *Http) {
+            sendText(Http, 200, "text/plain; version=0.0.4", this->metrics());
+          });
+    }
     this->watchSignal(SIGTERM, [](evutil_socket_t, short, void *Arg) {
       static_cast<Parts *>(Arg)->stop("SIGTERM");
     });
@@ -162,6 +172,7 @@
       event_free(Watch);
     }
     this->ReadyServer.reset();
+    this->MetricsServer.reset();
     this->Link.reset();
     this->Relays.reset();
     this->Store.reset();
@@ -178,6 +189,38 @@
            this->Beliefs->known(DirectoryKind::Targets) && this->KeysTrusted;
   }
 
+  std::string metrics() {
+    GatewayMetrics &M = this->Relays->metrics();
+    auto AgeSeconds = [this](DirectoryKind Kind) {
+      Duration Age = this->Beliefs->age(Kind, bootTime());
+      return Age == Duration::max() ? -1 : toSeconds(Age);
+    };
+    M.gauge("config_age_seconds", AgeSeconds(DirectoryKind::Config));
+    M.gauge("targets_age_seconds", AgeSeconds(DirectoryKind::Targets));
+    M.gauge("config_revision", static_cast<double>(this->Beliefs->revision(
+                                   DirectoryKind::Config)));
+    M.gauge("store_reachable", this->Beliefs->reachable() ? 1 : 0);
+    M.gauge("ready", this->ready() ? 1 : 0);
+    PlacePoolStats Pools = this->Relays->poolStats();
+    M.gauge("targets", Pools.Targets);
+    M.gauge("targets_usable", Pools.Usable);
+    M.gauge("slots", Pools.Slots);
+    M.gauge("running", Pools.Running);
+    M.gauge("waiting", Pools.Waiting);
+    M.gauge("held", this->Relays->stats().Held);
+    M.gauge("caller_connections", this->Relays->frontStats().Connections);
+    WireStats Wire = this->Relays->wireStats();
+    M.gauge("target_connections_opened", static_cast<double>(Wire.Opened));
+    M.gauge("target_connections_reused", static_cast<double>(Wire.Reused));
+    FleetLinkStats Peers = this->Link->stats();
+    M.gauge("peers", static_cast<double>(this->Link->peers().size()));
+    M.gauge("peer_bytes_sent", static_cast<double>(Peers.BytesSent));
+    LogStats Log = logStats();
+    M.gauge("log_lines", static_cast<double>(Log.Written));
+    M.gauge("log_lines_dropped", static_cast<double>(Log.Dropped));
+    return M.render();
+  }
+
   void run() {
     logBelief("start", {{"run", this->Self.Run},
                         {"caller", this->Host.Caller.text()},
@@ -185,7 +228,7 @@
     this->Beliefs->start(this->Self, bootTime());
     event_base_dispatch(this->Base);
     logBelief("stopped", {{"asked", this->Relays->stats().Asked}});
-    flushLog();
+    stopLog();
   }
 
   void stop(const char *Why) {
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -206,6 +206,7 @@
     R.QuotaAmount = FleetQuota::amount(*R.Customer, Tokens != nullptr,
                                        R.PromptTokens + R.OutputTokens);
     QuotaAnswer Answer = this->Quota.admit(R.Customer->Id, R.QuotaAmount, Now);
+    this->Metrics.quota(Answer.Admitted);
     if (!Answer.Admitted) {
       this->refuse(R, 429, "the customer is over its quota", Answer.RetryAfter);
       return false;
@@ -315,6 +316,7 @@
   R.Sent = false;
   R.Target = P.Target;
   R.Predicted = P.Predicted;
+  this->Metrics.waited(R.Path->Kind, P.Waited);
   R.HeadSeen = false;
   R.NotRun = false;
   R.Events = false;
@@ -449,7 +451,7 @@
     return;
   }
   Time Now = ProcessClock::now();
-  if (R.FirstEventAt.time_since_epoch().count() == 0) {
+  if (R.FirstEventAt == Time()) {
     R.FirstEventAt = Now;
   } else {
     R.LongestPause = std::max(R.LongestPause, Now - R.LastEventAt);
@@ -503,6 +505,7 @@
             {"limit", R.Path->MaxAttempts},
             {"may-have-run", R.MayHaveRun},
             {"budget", Budget}});
+  this->Metrics.sentAgain(Budget);
   if (!Budget) {
     return false;
   }
@@ -653,12 +656,22 @@
   if (R.Customer != nullptr) {
     Line["customer"] = R.Customer->Name;
   }
-  if (R.FirstEventAt.time_since_epoch().count() != 0) {
+  if (R.FirstEventAt != Time()) {
     Line["first-ms"] = toMillis(R.FirstEventAt - R.Ask.Read);
     Line["pause-ms"] = toMillis(R.LongestPause);
     Line["events"] = R.EventCount;
   }
   logEvent("ended", Line);
+  EndedRequest Ended;
+  Ended.Path = R.Path;
+  Ended.Result = Result;
+  Ended.Status = Status;
+  Ended.Total = Now - R.Ask.Read;
+  if (R.FirstEventAt != Time()) {
+    Ended.First = R.FirstEventAt - R.Ask.Read;
+    Ended.Pause = R.LongestPause;
+  }
+  this->Metrics.ended(Ended);
   switch (Result) {
   case Outcome::Completed:
     ++this->Counts.Completed;
@@ -779,6 +792,19 @@
   return Uses;
 }
 
+PlacePoolStats RelayTable::poolStats() const {
+  PlacePoolStats Sum;
+  for (const auto &Item : this->Services) {
+    PlacePoolStats S = Item.second->Pool->stats();
+    Sum.Targets += S.Targets;
+    Sum.Usable += S.Usable;
+    Sum.Slots += S.Slots;
+    Sum.Running += S.Running;
+    Sum.Waiting += S.Waiting;
+  }
+  return Sum;
+}
+
 RelayStats RelayTable::stats() const {
   RelayStats S = this->Counts;
   S.Held = static_cast<uint32_t>(this->Relays.size());
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -7,6 +7,7 @@
 #include "directory_p.h"
 #include "fleet_quota_p.h"
 #include "front_task_p.h"
+#include "gateway_metrics_p.h"
 #include "place_pool_p.h"
 #include "retry_budget_p.h"
 #include "wire_client_p.h"
@@ -77,6 +78,9 @@
 
   FleetQuota &quota() { return this->Quota; }
   CrashGuard &crashes() { return this->Crashes; }
+  GatewayMetrics &metrics() { return this->Metrics; }
+  /// Targets, places and waiting requests of all services together.
+  PlacePoolStats poolStats() const;
   void peerUse(HostId Peer, const std::vector<TargetUse> &Uses);
   void forgetPeer(HostId Peer);
   std::vector<TargetUse> ownUse() const;
@@ -170,6 +174,7 @@
   WireClient Wire;
   FleetQuota Quota;
   CrashGuard Crashes;
+  GatewayMetrics Metrics;
   std::shared_ptr<const RoutingConfig> Config;
   std::unordered_map<RunId, std::unique_ptr<Relay>> Relays;
   std::unordered_map<ExchangeId, RunId> ByExchange;
--- /dev/null
+++ b/tests/test_explain.cpp
@@ -0,0 +1,66 @@
+// From a request's id to its cause, by logs alone; and logs that nobody reads.
+#include "event_log_p.h"
+#include "explain.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <event2/event.h>
+
+#include <sstream>
+#include <unistd.h>
+
+using namespace shallotlatch;
+
+static const char *Session = R"(text that is no line
+12.1 a {"t":5,"host":"a","event":"config","version":3}
+12.2 a {"t":6,"host":"a","event":"store-lost"}
+{"t":7,"host":"b","event":"ended","id":"r2","status":200}
+{"t":8,"host":"a","event":"keys","trusted":false,"limit-ms":5000}
+{"t":9,"host":"a","event":"ended","id":"r1","verdict":"not-run","status":503,"why":"the key cannot be confirmed","config-age-ms":3300}
+{"t":10,"host":"a","event":"config","version":4}
+)";
+
+TEST_GROUP(Explaining){};
+
+TEST(Explaining, aRefusalForAStaleKeyShowsTheBeliefsBehindIt) {
+  std::istringstream Log(Session);
+  std::vector<LogLine> Story = explainRequest(Log, "r1");
+  CHECK_EQUAL(4, Story.size());
+  STRCMP_EQUAL("config", Story[0].Event.c_str());
+  STRCMP_EQUAL("keys", Story[1].Event.c_str());
+  STRCMP_EQUAL("store-lost", Story[2].Event.c_str());
+  STRCMP_EQUAL("ended", Story[3].Event.c_str());
+  std::string Text = printStory(Story);
+  CHECK(Text.find("config-age-ms\":3300") != std::string::npos);
+  CHECK(Text.find("\"version\":4") == std::string::npos);
+}
+
+TEST(Explaining, anUnknownIdHasNoStory) {
+  std::istringstream Log(Session);
+  CHECK_EQUAL(0, explainRequest(Log, "r9").size());
+}
+
+// A pipe that nobody reads fills; from then on lines are dropped and counted,
+// and no call waits.
+TEST(Explaining, aFullPipeStallsNothingAndBeliefsOutliveRoutineLines) {
+  int Ends[2];
+  CHECK_EQUAL(0, pipe(Ends));
+  event_base *Base = event_base_new();
+  startLog(Base, Ends[1], "a");
+  std::string Long(1000, 'x');
+  uint64_t DroppedBefore = logStats().Dropped;
+  for (int I = 0; I < 2000; ++I) {
+    logEvent("routine", {{"text", Long}});
+    flushLog();
+  }
+  uint64_t Dropped = logStats().Dropped - DroppedBefore;
+  CHECK(Dropped > 1000);
+  uint64_t Written = logStats().Written;
+  logBelief("belief", {{"text", Long}});
+  CHECK(logStats().Written > Written);
+  CHECK_EQUAL(Dropped, logStats().Dropped - DroppedBefore);
+  stopLog();
+  event_base_free(Base);
+  close(Ends[0]);
+  close(Ends[1]);
+}
--- a/tools/shallotctl.cpp
+++ b/tools/shallotctl.cpp
@@ -1,4 +1,5 @@
 // Operators' command line over the administration API.
+#include "explain.h"
 #include "http_once.h"
 #include "report.h"
 #include "shallotlatch/model.h"
@@ -210,6 +211,18 @@
   return 0;
 }
 
+static int explain(const std::string &RequestId,
+                   const std::vector<std::string> &Logs) {
+  std::string Story;
+  for (const std::string &Path : Logs) {
+    std::ifstream In(Path);
+    Story += printStory(explainRequest(In, RequestId));
+  }
+  std::cout << (Story.empty() ? "no line names request " + RequestId + "\n"
+                              : Story);
+  return Story.empty() ? ExitBadInput : 0;
+}
+
 int main(int Argc, char **Argv) {
   signal(SIGPIPE, SIG_IGN);
   CLI::App App("Checks, reviews and applies configurations, and shows what "
@@ -250,8 +263,19 @@
   std::string Html;
   CLI::App *Report = App.add_subcommand("report", "Service-level burn");
   Report->add_option("--html", Html, "Also write one HTML page");
+  CLI::App *Explain = App.add_subcommand(
+      "explain", "Tell one request's story from gateways' logs");
+  std::string RequestId;
+  std::vector<std::string> Logs;
+  Explain->add_option("request-id", RequestId, "Id of the request")->required();
+  Explain->add_option("log", Logs, "Log files")
+      ->required()
+      ->check(CLI::ExistingFile);
   CLI11_PARSE(App, Argc, Argv);
   try {
+    if (Explain->parsed()) {
+      return explain(RequestId, Logs);
+    }
     if (Check->parsed()) {
       return checkFile(File);
     }
