--- a/include/shallotlatch/gateway.h
+++ b/include/shallotlatch/gateway.h
@@ -33,6 +33,7 @@
   double RetryRatio = 0.2;
   double RetryExtra = 10;
   Duration RetryWindow = seconds(10);
+  Duration QuotaWindow = seconds(10);
   double QuotaOverage = 0;   ///< Tolerated share beyond a quota.
   double QuotaTolerance = 0; ///< Tolerated amount beyond a quota.
   uint32_t MemoryMb = 256;
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -1,5 +1,7 @@
 #include "fleet_quota_p.h"
 
+#include "event_log_p.h"
+
 #include <algorithm>
 
 namespace shallotlatch {
@@ -7,6 +9,9 @@
 // Longest and shortest advice to a customer beyond its quota.
 static constexpr Duration MinReturn = millis(100);
 static constexpr Duration MaxReturn = seconds(3);
+// Parts of the tolerated excess that are given to customers.
+static constexpr double OverageShare = 0.8;
+static constexpr double ToleranceShare = 0.5;
 
 void FleetQuota::configure(const RoutingConfig &Config, Time Now) {
   for (const auto &Item : Config.Customers) {
@@ -19,6 +24,13 @@
     } else {
       this->refill(B, Now);
     }
+    if (New || B.Rate != C.RatePerSecond || B.Burst != C.Burst) {
+      logBelief("quota", {{"customer", C.Name},
+                          {"per-s", C.RatePerSecond},
+                          {"burst", C.Burst},
+                          {"tokens", C.CountsTokens},
+                          {"config", Config.Version}});
+    }
     B.Rate = C.RatePerSecond;
     B.Burst = C.Burst;
     B.Level = std::min(B.Level, B.Burst);
@@ -28,8 +40,14 @@
 void FleetQuota::refill(Bucket &B, Time Now) const {
   double Passed = toSeconds(Now - B.Refilled);
   B.Refilled = Now;
-  B.Level = std::min(B.Burst, B.Level + B.Rate * (1 + this->Slack.RateShare) *
-                                            this->Share * Passed);
+  double Rate = B.Rate;
+  if (this->Free) {
+    double Window = toSeconds(this->Slack.Window);
+    Rate += (this->Slack.Overage * OverageShare * (B.Rate * Window + B.Burst) +
+             this->Slack.Tolerance * ToleranceShare) /
+            Window;
+  }
+  B.Level = std::min(B.Burst, B.Level + Rate * this->Share * Passed);
 }
 
 double FleetQuota::amount(const FrontCustomer &Customer, bool HasTokens,
@@ -49,9 +67,7 @@
   Bucket &B = It->second;
   this->refill(B, Now);
   // A request larger than the burst needs a full bucket and leaves a debt.
-  double Overdraft =
-      this->Slack.Overdraft * (B.Burst > this->Slack.Overdraft ? 1 : 0);
-  double Missing = std::min(Amount, B.Burst) - B.Level - Overdraft;
+  double Missing = std::min(Amount, B.Burst) - B.Level;
   if (Missing > 0) {
     double Seconds = Missing / (B.Rate * std::max(0.05, this->Share));
     Answer.Admitted = false;
--- a/src/fleet_quota_p.h
+++ b/src/fleet_quota_p.h
@@ -23,11 +23,13 @@
   Duration RetryAfter{0};
 };
 
-/// What may be admitted beyond a quota: the operators tolerate a little, since
-/// no host knows at once what the others admit.
+/// What the operators tolerate beyond a quota in any window. Part of it is
+/// given to customers while places stand free; the rest covers what hosts
+/// admit before they hear of each other.
 struct QuotaSlack {
-  double RateShare = 0; ///< Of the rate.
-  double Overdraft = 0; ///< Below an empty bucket.
+  double Overage = 0;   ///< Share of what the quota allows in a window.
+  double Tolerance = 0; ///< Amount besides.
+  Duration Window = seconds(10);
 };
 
 class FleetQuota {
@@ -41,6 +43,8 @@
   /// Part of the rate that this host may count on: less what peers that
   /// cannot be heard may be using.
   void setShare(double Share) { this->Share = Share; }
+  /// Whether every request finds a place at once.
+  void setFree(bool Free) { this->Free = Free; }
   std::vector<CustomerUse> ownUse() const;
   /// What a request of \p Customer counts.
   static double amount(const FrontCustomer &Customer, bool HasTokens,
@@ -64,6 +68,7 @@
   std::unordered_map<CustomerId, Bucket> Buckets;
   std::map<HostId, PeerCount> Peers;
   double Share = 1;
+  bool Free = true;
 };
 
 } // namespace shallotlatch
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -48,10 +48,6 @@
 static constexpr Duration StopMargin = millis(500);
 // Share of the revocation limit up to which a key is trusted.
 static constexpr double KeyAgeShare = 0.62;
-// Parts of the tolerated excess over a quota that are given to customers; the
-// rest covers what peers admit unheard.
-static constexpr double QuotaOverageShare = 0.4;
-static constexpr double QuotaToleranceShare = 0.3;
 // Descriptors that are not for callers' connections.
 static constexpr uint32_t ReservedDescriptors = 900;
 
@@ -123,8 +119,9 @@
     Relay.Budget.Ratio = Host.RetryRatio;
     Relay.Budget.Extra = Host.RetryExtra;
     Relay.Budget.Window = Host.RetryWindow;
-    Relay.Slack.RateShare = Host.QuotaOverage * QuotaOverageShare;
-    Relay.Slack.Overdraft = Host.QuotaTolerance * QuotaToleranceShare;
+    Relay.Slack.Overage = Host.QuotaOverage;
+    Relay.Slack.Tolerance = Host.QuotaTolerance;
+    Relay.Slack.Window = Host.QuotaWindow;
     this->Relays =
         std::make_unique<RelayTable>(this->Base, Front, Relay, *this->Beliefs);
     this->Link = std::make_unique<FleetLink>(
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -45,6 +45,7 @@
   R.number("retryRatio", S.RetryRatio, 0, 10);
   R.number("retryExtra", S.RetryExtra, 0, 1e6);
   readSeconds(R, "retryWindowSeconds", S.RetryWindow);
+  readSeconds(R, "quotaWindowSeconds", S.QuotaWindow);
   R.number("quotaOverage", S.QuotaOverage, 0, 10);
   R.number("quotaTolerance", S.QuotaTolerance, 0, 1e12);
   R.whole("memoryMb", S.MemoryMb, 32, 1U << 20);
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -40,7 +40,7 @@
 // Bounds of the advice to come back. Callers keep to at most a third of the
 // time that they have left.
 static constexpr Duration MinReturn = millis(250);
-static constexpr double ReturnShare = 0.2;
+static constexpr double ReturnShare = 0.18;
 // Requests that wait at the most, of one service.
 static constexpr size_t MaxWaiting = 512;
 
@@ -150,8 +150,8 @@
 Duration PlacePool::returnTime(const PlaceAsk &Ask, Time Now) const {
   double Left = static_cast<double>((Ask.Deadline - Now).count());
   double Point = static_cast<double>(hashPair(Ask.Run.Value, 1) % 1000) / 1000;
-  double Wait = Left * ReturnShare * (0.5 + 0.5 * Point) *
-                (1 + 0.25 * std::min(Ask.Rank, 3U));
+  double Wait = Left * ReturnShare * (1 + 0.3 * Point) *
+                (1 + 0.1 * std::min(Ask.Rank, 3U));
   return std::max(MinReturn, Duration(static_cast<int64_t>(Wait)));
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -27,8 +27,8 @@
 // A second attempt needs at least this much time.
 static constexpr Duration MinTimeToRepeat = millis(60);
 static constexpr size_t MaxAnswerBytes = 8 * 1024 * 1024;
-// A deadline shorter by this is that of a caller that comes back.
-static constexpr Duration ReturnedAfter = millis(100);
+// First deadlines of one route's callers lie within this part of the longest.
+static constexpr int PatiencePercent = 16;
 // Part by which the longest deadline seen on a route falls with each request,
 // so that a lowered one is learned.
 static constexpr int DeadlineDecay = 100000;
@@ -189,7 +189,9 @@
   // a shorter one tells how long its caller has been trying.
   Duration &Longest = this->LongestDeadline[R.Path->Id];
   Longest = std::max(Limit, Longest - Longest / DeadlineDecay);
-  R.Spent = Left == nullptr ? Duration(0) : Longest - Limit;
+  // Callers' patience differs; only a deadline well below the longest tells.
+  Duration Spent = Left == nullptr ? Duration(0) : Longest - Limit;
+  R.Spent = Spent > Longest * PatiencePercent / 100 ? Spent : Duration(0);
   double Point = static_cast<double>(hash64(R.RequestId) % 10000) / 10000;
   double Total = 0;
   for (const RouteShare &S : R.Path->Shares) {
@@ -244,7 +246,7 @@
   Ask.Arrived = R.Ask.Read;
   Ask.Deadline = R.Deadline;
   Ask.FirstAsked = R.Ask.Read - R.Spent;
-  Ask.Returned = R.Spent > ReturnedAfter;
+  Ask.Returned = R.Spent.count() > 0;
   Ask.Repeatable = R.Path->repeatable();
   Ask.Tried = R.Tried;
   this->service(R.Service).Pool->enqueue(Ask);
@@ -327,6 +329,7 @@
            {{"id", R.RequestId},
             {"target", P.Target.Instance},
             {"running", P.Running},
+            {"prompt-tokens", R.PromptTokens},
             {"predicted-ms", toMillis(P.Predicted)},
             {"waited-ms", toMillis(P.Waited)},
             {"targets-age-ms",
@@ -652,6 +655,9 @@
   if (R.Path != nullptr) {
     Line["route"] = R.Path->Name;
     Line["attempts"] = R.Attempts;
+    Line["prompt-tokens"] = R.PromptTokens;
+    Line["output-tokens"] = R.OutputTokens;
+    Line["spent-ms"] = toMillis(R.Spent);
   }
   if (R.Customer != nullptr) {
     Line["customer"] = R.Customer->Name;
@@ -735,11 +741,14 @@
       }
     }
   }
+  bool Waiting = false;
   for (const auto &Item : this->Services) {
     if (Item.second->Pool->waiting()) {
       this->dispatch(Item.first);
+      Waiting = Waiting || Item.second->Pool->waiting();
     }
   }
+  this->Quota.setFree(!Waiting);
 }
 
 void RelayTable::drain(Time Until) {
--- a/tools/explain.h
+++ b/tools/explain.h
@@ -13,7 +13,7 @@
   std::string Host;
   int64_t AtMs = 0; ///< By the host's own steady clock.
   std::string Event;
-  std::string Fields; ///< The rest, as JSON.
+  std::string Fields;  ///< The rest, as JSON.
   bool Belief = false; ///< A change of belief in force when it ended.
 };
 
