--- a/include/shallotlatch/model.h
+++ b/include/shallotlatch/model.h
@@ -1,6 +1,6 @@
 /// \file
 /// The configuration that operators write: aggregates, parsed and validated
-/// whole. The JSON form is documented in docs/OPERATING.md.
+/// whole. The JSON form is documented in docs/OPERATIONS.md.
 #pragma once
 
 #include "shallotlatch/types.h"
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -16,6 +16,8 @@
 // together. The configuration has none: its bounds are the tightest.
 static constexpr Duration WatchPause[DirectoryKinds] = {millis(0), millis(60),
                                                         millis(1000)};
+// Number of peers up to which the pause holds; it grows in proportion.
+static constexpr uint32_t PeersAtFullPace = 10;
 // Age of the configuration from which this host asks the store itself. Hosts
 // differ, so that one asks and the others hear of it from that one.
 static constexpr Duration ConfirmAge = millis(1100);
@@ -261,7 +263,8 @@
   }
   F.Confirmed = std::max(F.Confirmed, F.AskedAt);
   F.Failures = 0;
-  F.NextCall = this->Now + WatchPause[index(Kind)];
+  F.NextCall =
+      this->Now + WatchPause[index(Kind)] * (1 + this->Peers / PeersAtFullPace);
   if (F.NextCall <= this->Now) {
     this->call(Kind, this->Now);
   }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -78,6 +78,9 @@
   void tick(Time Now);
   /// A peer holds the same configuration, and it was confirmed \p Age ago.
   void peerConfirms(uint64_t ConfigRevision, Duration Age, Time Now);
+  /// Hosts that watch the same store: with more of them, changes are gathered
+  /// for longer, so that the calls a second of the fleet stay bounded.
+  void setPeers(uint32_t Peers) { this->Peers = Peers; }
   /// Removes a peer's entry; peers agreed that it is gone.
   void forgetHost(const std::string &Name);
 
@@ -133,6 +136,7 @@
   DirectoryStore &Store;
   DirectoryEvents &Events;
   uint64_t Seed;
+  uint32_t Peers = 0;
   Feed Feeds[DirectoryKinds];
   FleetHost Self;
   std::shared_ptr<const RoutingConfig> Config;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -114,6 +114,7 @@
     RelayInit Relay;
     Relay.Headers = Headers;
     Relay.Domain = Host.Domain;
+    Relay.Seed = hash64(Host.Host);
     Relay.KeyAgeLimit = Duration(static_cast<int64_t>(
         static_cast<double>(Host.RevocationLimit.count()) * KeyAgeShare));
     Relay.Budget.Ratio = Host.RetryRatio;
@@ -351,6 +352,8 @@
     }
     double Share =
         Heard == 1 ? 1.0 / Hosts : static_cast<double>(Heard) / Hosts;
+    this->Relays->setRemoteReserve(this->Remote > RemotePeers ? 1 : 0);
+    this->Beliefs->setPeers(Heard - 1);
     this->Relays->quota().setShare(Share);
     this->Relays->setHosts(Hosts);
     for (const std::string &Name : Gone) {
--- a/src/key_home.cpp
+++ b/src/key_home.cpp
@@ -83,7 +83,7 @@
 }
 
 // Undated keys have no watermark: once their object is full, ended claims make
-// room, and such a key could then run again. docs/OPERATING.md names the risk
+// room, and such a key could then run again. docs/OPERATIONS.md names the risk
 // beside the setting.
 static void dropEnded(KeyBucket &B) {
   for (auto It = B.Claims.begin(); It != B.Claims.end(); ++It) {
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -41,11 +41,15 @@
 // time that they have left.
 static constexpr Duration MinReturn = millis(250);
 static constexpr double ReturnShare = 0.18;
+// Targets whose cost lies within this of the best are as good as it: the
+// prediction is no better than that.
+static constexpr double NearlyAsGood = 1.3;
+static constexpr double NearlyAsGoodMs = 10;
 // Requests that wait at the most, of one service.
 static constexpr size_t MaxWaiting = 512;
 
-PlacePool::PlacePool(bool Engine, std::string OwnDomain)
-    : Engine(Engine), OwnDomain(std::move(OwnDomain)) {}
+PlacePool::PlacePool(bool Engine, std::string OwnDomain, uint64_t Seed)
+    : Engine(Engine), OwnDomain(std::move(OwnDomain)), Random(Seed) {}
 
 static uint32_t targetHash(const std::string &Instance) {
   return static_cast<uint32_t>(hash64(Instance));
@@ -98,37 +102,58 @@
 }
 
 bool PlacePool::usable(const Target &T, Time Now) const {
-  if (T.Entry.Leaving || T.Own + T.Peers >= T.Entry.Slots) {
+  bool Remote = T.Entry.Domain != this->OwnDomain;
+  if (T.Entry.Leaving ||
+      T.Own + T.Peers + (Remote ? this->RemoteReserve : 0) >= T.Entry.Slots) {
     return false;
   }
   return !T.Suspect || this->TooManySuspects ||
          (T.Own == 0 && Now >= T.AvoidUntil);
 }
 
+PlacePool::Choice PlacePool::rate(Target &T, const PlaceAsk &Ask) const {
+  double Ms = T.Entry.Domain == this->OwnDomain ? 0 : RemoteDomainMs;
+  if (this->Engine) {
+    double Pending = T.OwnPrompt + T.PeerPrompt + Ask.PromptTokens;
+    Ms += (EngineBaseMs + Pending / PromptTokensPerMs) * T.Slowness;
+  } else {
+    Ms += ServiceBaseMs * T.Slowness;
+  }
+  double Fill = static_cast<double>(T.Own + T.Peers) / T.Entry.Slots;
+  Choice C;
+  C.At = &T;
+  C.Cost = Ms * (1 + Fill) + 50 * T.Trouble;
+  C.Predicted = Duration(static_cast<int64_t>(Ms * 1000));
+  return C;
+}
+
+// Hosts with the same knowledge would all choose the best target before they
+// hear of each other, so the choice is drawn from those that are nearly as
+// good.
 PlacePool::Choice PlacePool::choose(const PlaceAsk &Ask, Time Now) {
-  Choice Best;
+  this->Choices.clear();
+  double Best = 0;
   for (auto &Item : this->Targets) {
     Target &T = Item.second;
     if (!this->usable(T, Now) || std::find(Ask.Tried.begin(), Ask.Tried.end(),
                                            Item.first) != Ask.Tried.end()) {
       continue;
     }
-    double Ms = T.Entry.Domain == this->OwnDomain ? 0 : RemoteDomainMs;
-    if (this->Engine) {
-      double Pending = T.OwnPrompt + T.PeerPrompt + Ask.PromptTokens;
-      Ms += (EngineBaseMs + Pending / PromptTokensPerMs) * T.Slowness;
-    } else {
-      Ms += ServiceBaseMs * T.Slowness;
-    }
-    double Fill = static_cast<double>(T.Own + T.Peers) / T.Entry.Slots;
-    double Cost = Ms * (1 + Fill) + 50 * T.Trouble;
-    if (Best.At == nullptr || Cost < Best.Cost) {
-      Best.At = &T;
-      Best.Cost = Cost;
-      Best.Predicted = Duration(static_cast<int64_t>(Ms * 1000));
-    }
+    this->Choices.push_back(this->rate(T, Ask));
+    double Cost = this->Choices.back().Cost;
+    Best = this->Choices.size() == 1 ? Cost : std::min(Best, Cost);
+  }
+  if (this->Choices.empty()) {
+    return Choice();
   }
-  return Best;
+  auto Worse = [Best](const Choice &C) {
+    return C.Cost > Best * NearlyAsGood + NearlyAsGoodMs;
+  };
+  this->Choices.erase(
+      std::remove_if(this->Choices.begin(), this->Choices.end(), Worse),
+      this->Choices.end());
+  std::uniform_int_distribution<size_t> Draw(0, this->Choices.size() - 1);
+  return this->Choices[Draw(this->Random)];
 }
 
 // Whether its first event could still come within the objective, on a target
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -71,7 +72,8 @@
 
 class PlacePool {
 public:
-  PlacePool(bool Engine, std::string OwnDomain);
+  /// \p Seed makes hosts with the same knowledge choose differently.
+  PlacePool(bool Engine, std::string OwnDomain, uint64_t Seed);
 
   void setTarget(const TargetEntry &Entry, Time Now);
   void removeTarget(const std::string &Instance);
@@ -90,6 +92,9 @@
   /// What a peer has running here; replaces what it said before.
   void peerUse(HostId Peer, const std::vector<TargetUse> &Uses, Time Now);
   void forgetPeer(HostId Peer);
+  /// Slots of a target in another failure domain that are left to the hosts
+  /// there: what those have running is known late.
+  void setRemoteReserve(uint32_t Slots) { this->RemoteReserve = Slots; }
   std::vector<TargetUse> ownUse() const;
   PlacePoolStats stats() const;
   /// Earliest time at which `decide` may change its mind by itself.
@@ -150,6 +155,7 @@
   void addUses(const std::vector<TargetUse> &Uses, int Sign);
   void note(Target &T, RunSign Sign, Time Now);
   bool usable(const Target &T, Time Now) const;
+  Choice rate(Target &T, const PlaceAsk &Ask) const;
   void suspect(Target &T, Time Now);
   void countSuspects();
   bool onTime(const PlaceAsk &Ask, Time Now) const;
@@ -166,6 +172,9 @@
   std::unordered_map<uint32_t, Target *> ByHash;
   uint64_t NextSerial = 1;
   bool TooManySuspects = false; ///< The fault is not theirs.
+  uint32_t RemoteReserve = 0;
+  std::mt19937_64 Random;
+  std::vector<Choice> Choices; ///< Of one request; kept for its memory.
 };
 
 } // namespace shallotlatch
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -61,7 +61,8 @@
         this->Config ? this->Config->service(Id) : nullptr;
     S = std::make_unique<Service>(this->Init.Budget);
     S->Pool = std::make_unique<PlacePool>(Spec != nullptr && Spec->Engine,
-                                          this->Init.Domain);
+                                          this->Init.Domain, this->Init.Seed);
+    S->Pool->setRemoteReserve(this->RemoteReserve);
     for (const auto &Item : this->Targets) {
       if (Item.second.Service == Id) {
         S->Pool->setTarget(Item.second, ProcessClock::now());
@@ -262,6 +263,14 @@
     if (R == nullptr) {
       continue;
     }
+    PlacePoolStats Pool = this->service(Id).Pool->stats();
+    logEvent("not-placed", {{"id", R->RequestId},
+                            {"why", Refusal.Why},
+                            {"waiting", Pool.Waiting},
+                            {"running", Pool.Running},
+                            {"slots", Pool.Slots},
+                            {"targets", Pool.Usable},
+                            {"return-ms", toMillis(Refusal.RetryAfter)}});
     if (R->Begun || R->MayHaveRun) {
       this->fail(*R, 502, Refusal.Why);
     } else {
@@ -786,6 +795,13 @@
   }
 }
 
+void RelayTable::setRemoteReserve(uint32_t Slots) {
+  this->RemoteReserve = Slots;
+  for (const auto &Item : this->Services) {
+    Item.second->Pool->setRemoteReserve(Slots);
+  }
+}
+
 void RelayTable::forgetPeer(HostId Peer) {
   for (const auto &Item : this->Services) {
     Item.second->Pool->forgetPeer(Peer);
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -44,6 +44,7 @@
   RetryBudgetInit Budget;
   QuotaSlack Slack;
   CrashGuardInit Crashes;
+  uint64_t Seed = 1; ///< Of this host's random choices.
 };
 
 /// Readable figures of the relay.
@@ -67,6 +68,7 @@
   void configure(std::shared_ptr<const RoutingConfig> Config);
   void setTarget(const TargetEntry &Target);
   void removeTarget(const std::string &Instance);
+  void setRemoteReserve(uint32_t Slots);
   void setHosts(uint32_t Hosts) { this->Hosts = Hosts; }
   void tick();
   /// Nothing that lasts longer than this may begin any more.
@@ -184,6 +186,7 @@
   std::unordered_map<RouteId, Duration> LongestDeadline;
   uint64_t NextRun = 1;
   uint32_t Hosts = 1;
+  uint32_t RemoteReserve = 0;
   bool Draining = false;
   RunId Starting; ///< Its call is being started.
   Time DrainUntil;
--- a/tests/test_place_pool.cpp
+++ b/tests/test_place_pool.cpp
@@ -8,7 +8,8 @@
 
 TEST_GROUP(Placing) {
   Time Now{seconds(100)};
-  std::unique_ptr<PlacePool> Pool = std::make_unique<PlacePool>(true, "north");
+  std::unique_ptr<PlacePool> Pool =
+      std::make_unique<PlacePool>(true, "north", 1);
   uint64_t NextRun = 1;
   std::vector<Placement> Placed;
   std::vector<PlaceRefusal> Refused;
@@ -184,3 +185,32 @@
   decide();
   STRCMP_EQUAL("near", Placed[0].Target.Instance.c_str());
 }
+
+// Many hosts that know the same: each on its own would choose the one best
+// target, and its queue would grow before they hear of each other.
+TEST(Placing, hostsWithTheSameKnowledgeSpreadOverEqualTargets) {
+  std::map<std::string, int> Chosen;
+  for (uint64_t Host = 1; Host <= 60; ++Host) {
+    Pool = std::make_unique<PlacePool>(true, "north", Host);
+    for (int I = 0; I < 6; ++I) {
+      target("t" + std::to_string(I), 5);
+    }
+    Pool->enqueue(ask(0));
+    decide();
+    ++Chosen[Placed.at(0).Target.Instance];
+  }
+  CHECK_EQUAL(6, Chosen.size());
+  for (const auto &Item : Chosen) {
+    CHECK(Item.second < 30);
+  }
+}
+
+TEST(Placing, aRemoteTargetsLastSlotIsLeftToItsOwnHosts) {
+  target("far", 3, "south");
+  Pool->setRemoteReserve(1);
+  for (int I = 0; I < 3; ++I) {
+    Pool->enqueue(ask(0));
+  }
+  decide();
+  CHECK_EQUAL(2, Placed.size());
+}
