--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -352,7 +352,7 @@
     }
     double Share =
         Heard == 1 ? 1.0 / Hosts : static_cast<double>(Heard) / Hosts;
-    this->Relays->setRemoteReserve(this->Remote > RemotePeers ? 1 : 0);
+    this->Relays->setRemoteHosts(this->Remote);
     this->Beliefs->setPeers(Heard - 1);
     this->Relays->quota().setShare(Share);
     this->Relays->setHosts(Hosts);
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -41,6 +41,13 @@
 // time that they have left.
 static constexpr Duration MinReturn = millis(250);
 static constexpr double ReturnShare = 0.18;
+// Up to this many hosts of other domains are heard quickly enough to share all
+// targets.
+static constexpr uint32_t FewRemoteHosts = 8;
+// Beyond it, hosts of other domains that may use one target, on average.
+static constexpr uint32_t RemoteHostsPerTarget = 3;
+// Slots of a target that they leave to the hosts beside it.
+static constexpr uint32_t RemoteReserve = 1;
 // Targets whose cost lies within this of the best are as good as it: the
 // prediction is no better than that.
 static constexpr double NearlyAsGood = 1.3;
@@ -49,7 +56,8 @@
 static constexpr size_t MaxWaiting = 512;
 
 PlacePool::PlacePool(bool Engine, std::string OwnDomain, uint64_t Seed)
-    : Engine(Engine), OwnDomain(std::move(OwnDomain)), Random(Seed) {}
+    : Engine(Engine), OwnDomain(std::move(OwnDomain)), Seed(Seed),
+      Random(Seed) {}
 
 static uint32_t targetHash(const std::string &Instance) {
   return static_cast<uint32_t>(hash64(Instance));
@@ -68,6 +76,7 @@
     T = Fresh;
   }
   T.Entry = Entry;
+  T.Open = this->open(Entry);
   if (New) {
     this->sumPeers();
   }
@@ -101,10 +110,34 @@
   }
 }
 
+// Calls of plain services are over before late news matters.
+bool PlacePool::late(const TargetEntry &Entry) const {
+  return this->Engine && Entry.Domain != this->OwnDomain &&
+         this->RemoteHosts > FewRemoteHosts;
+}
+
+bool PlacePool::open(const TargetEntry &Entry) const {
+  if (!this->late(Entry)) {
+    return true;
+  }
+  return hashPair(this->Seed, hash64(Entry.Instance)) % this->RemoteHosts <
+         RemoteHostsPerTarget;
+}
+
+void PlacePool::setRemoteHosts(uint32_t Hosts) {
+  if (Hosts == this->RemoteHosts) {
+    return;
+  }
+  this->RemoteHosts = Hosts;
+  for (auto &Item : this->Targets) {
+    Item.second.Open = this->open(Item.second.Entry);
+  }
+}
+
 bool PlacePool::usable(const Target &T, Time Now) const {
-  bool Remote = T.Entry.Domain != this->OwnDomain;
-  if (T.Entry.Leaving ||
-      T.Own + T.Peers + (Remote ? this->RemoteReserve : 0) >= T.Entry.Slots) {
+  uint32_t Reserve = this->late(T.Entry) ? RemoteReserve : 0;
+  if (T.Entry.Leaving || !T.Open ||
+      T.Own + T.Peers + Reserve >= T.Entry.Slots) {
     return false;
   }
   return !T.Suspect || this->TooManySuspects ||
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -92,9 +92,10 @@
   /// What a peer has running here; replaces what it said before.
   void peerUse(HostId Peer, const std::vector<TargetUse> &Uses, Time Now);
   void forgetPeer(HostId Peer);
-  /// Slots of a target in another failure domain that are left to the hosts
-  /// there: what those have running is known late.
-  void setRemoteReserve(uint32_t Slots) { this->RemoteReserve = Slots; }
+  /// Number of hosts that share each target of another failure domain. What
+  /// they have running is known late, so on a large fleet each such target is
+  /// open to a few of them only, and its last slot to none.
+  void setRemoteHosts(uint32_t Hosts);
   std::vector<TargetUse> ownUse() const;
   PlacePoolStats stats() const;
   /// Earliest time at which `decide` may change its mind by itself.
@@ -112,6 +113,7 @@
   /// Condition of one target as this host saw it.
   struct Target {
     TargetEntry Entry;
+    bool Open = true; ///< This host may use it.
     uint32_t Own = 0;
     double OwnPrompt = 0;
     uint32_t Peers = 0;
@@ -154,6 +156,9 @@
   void sumPeers();
   void addUses(const std::vector<TargetUse> &Uses, int Sign);
   void note(Target &T, RunSign Sign, Time Now);
+  /// What others have running on it is known late.
+  bool late(const TargetEntry &Entry) const;
+  bool open(const TargetEntry &Entry) const;
   bool usable(const Target &T, Time Now) const;
   Choice rate(Target &T, const PlaceAsk &Ask) const;
   void suspect(Target &T, Time Now);
@@ -172,7 +177,8 @@
   std::unordered_map<uint32_t, Target *> ByHash;
   uint64_t NextSerial = 1;
   bool TooManySuspects = false; ///< The fault is not theirs.
-  uint32_t RemoteReserve = 0;
+  uint32_t RemoteHosts = 0;
+  uint64_t Seed;
   std::mt19937_64 Random;
   std::vector<Choice> Choices; ///< Of one request; kept for its memory.
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -62,7 +62,7 @@
     S = std::make_unique<Service>(this->Init.Budget);
     S->Pool = std::make_unique<PlacePool>(Spec != nullptr && Spec->Engine,
                                           this->Init.Domain, this->Init.Seed);
-    S->Pool->setRemoteReserve(this->RemoteReserve);
+    S->Pool->setRemoteHosts(this->RemoteHosts);
     for (const auto &Item : this->Targets) {
       if (Item.second.Service == Id) {
         S->Pool->setTarget(Item.second, ProcessClock::now());
@@ -795,10 +795,10 @@
   }
 }
 
-void RelayTable::setRemoteReserve(uint32_t Slots) {
-  this->RemoteReserve = Slots;
+void RelayTable::setRemoteHosts(uint32_t Remote) {
+  this->RemoteHosts = Remote;
   for (const auto &Item : this->Services) {
-    Item.second->Pool->setRemoteReserve(Slots);
+    Item.second->Pool->setRemoteHosts(Remote);
   }
 }
 
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -68,7 +68,7 @@
   void configure(std::shared_ptr<const RoutingConfig> Config);
   void setTarget(const TargetEntry &Target);
   void removeTarget(const std::string &Instance);
-  void setRemoteReserve(uint32_t Slots);
+  void setRemoteHosts(uint32_t Remote);
   void setHosts(uint32_t Hosts) { this->Hosts = Hosts; }
   void tick();
   /// Nothing that lasts longer than this may begin any more.
@@ -186,7 +186,7 @@
   std::unordered_map<RouteId, Duration> LongestDeadline;
   uint64_t NextRun = 1;
   uint32_t Hosts = 1;
-  uint32_t RemoteReserve = 0;
+  uint32_t RemoteHosts = 0;
   bool Draining = false;
   RunId Starting; ///< Its call is being started.
   Time DrainUntil;
