A confirmation is passed on at first hand only, and dated by the receiver's clock

Now a host passes on only the store's own word, and tells each peer which of that peer's stamps it had heard before it asked; no clock is compared. Tests: whatPeersRepeatNeverMakesABeliefYounger, onlyTheStoresOwnWordIsPassedOn.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -26,9 +26,11 @@
   run @1 :UInt64;
   sequence @2 :UInt32;
   leaving @3 :Bool;
-  configRevision @4 :UInt64;
-  configAgeMs @5 :UInt32;   # Since the store confirmed it to the sender.
-  targets @6 :List(TargetUse);
-  customers @7 :List(CustomerUse);
-  crashes @8 :List(CrashTally);
+  configRevision @4 :UInt64; # Newest that the store confirmed to the sender.
+  stamp @5 :UInt64;          # Sender's own clock, microseconds.
+  echo @6 :UInt64;           # A stamp of the receiver that was heard before
+                             # the sender asked the store; 0: none.
+  targets @7 :List(TargetUse);
+  customers @8 :List(CustomerUse);
+  crashes @9 :List(CrashTally);
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -364,7 +364,9 @@
 
   inline  ::uint64_t getConfigRevision() const;
 
-  inline  ::uint32_t getConfigAgeMs() const;
+  inline  ::uint64_t getStamp() const;
+
+  inline  ::uint64_t getEcho() const;
 
   inline bool hasTargets() const;
   inline  ::capnp::List< ::shallotlatch::fleetwire::TargetUse,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
@@ -418,8 +420,11 @@
   inline  ::uint64_t getConfigRevision();
   inline void setConfigRevision( ::uint64_t value);
 
-  inline  ::uint32_t getConfigAgeMs();
-  inline void setConfigAgeMs( ::uint32_t value);
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
 
   inline bool hasTargets();
   inline  ::capnp::List< ::shallotlatch::fleetwire::TargetUse,  ::capnp::Kind::STRUCT>::Builder getTargets();
@@ -638,18 +643,32 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t FleetState::Reader::getConfigAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetState::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t FleetState::Builder::getConfigAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetState::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void FleetState::Builder::setConfigAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void FleetState::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetState::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetState::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool FleetState::Reader::hasTargets() const {
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -66,10 +66,10 @@
                                                            : At - F.Confirmed;
 }
 
-void Directory::peerConfirms(uint64_t ConfigRevision, Duration Age, Time At) {
+void Directory::peerConfirms(uint64_t ConfigRevision, Time Heard) {
   Feed &F = this->feed(DirectoryKind::Config);
-  if (F.Known && ConfigRevision == F.Revision && At - Age > F.Confirmed) {
-    F.Confirmed = At - Age;
+  if (F.Known && ConfigRevision == F.Revision) {
+    F.Confirmed = std::max(F.Confirmed, Heard);
   }
 }
 
@@ -138,6 +138,7 @@
   }
   F.Confirming = true;
   F.ConfirmAskedAt = At;
+  this->Events.onConfirmAsked();
   Time AskedAt = At;
   uint64_t From = F.At;
   this->Store.watch(DirectoryKind::Config, From, Duration(0),
@@ -165,6 +166,7 @@
   }
   if (From == F.At || !Reply.Objects.empty()) {
     F.Confirmed = std::max(F.Confirmed, F.ConfirmAskedAt);
+    this->Events.onConfirmed(F.Revision);
   }
 }
 
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -66,6 +66,10 @@
   virtual void onHostGone(const std::string &Name) = 0;
   /// The store answers again, or does not.
   virtual void onStore(bool Reachable) = 0;
+  /// The store is asked whether the configuration is the newest.
+  virtual void onConfirmAsked() = 0;
+  /// It said so.
+  virtual void onConfirmed(uint64_t ConfigRevision) = 0;
 };
 
 /// Lists, then watches each kind. Time is passed in, as time that goes on
@@ -76,8 +80,9 @@
 
   void start(const FleetHost &Self, Time Now);
   void tick(Time Now);
-  /// A peer holds the same configuration, and it was confirmed \p Age ago.
-  void peerConfirms(uint64_t ConfigRevision, Duration Age, Time Now);
+  /// A peer asked the store after it had heard from this host at \p Heard, by
+  /// this host's clock, and was told that \p ConfigRevision is the newest.
+  void peerConfirms(uint64_t ConfigRevision, Time Heard);
   /// Hosts that watch the same store: with more of them, changes are gathered
   /// for longer, so that the calls a second of the fleet stay bounded.
   void setPeers(uint32_t Peers) { this->Peers = Peers; }
--- a/src/fleet_link.cpp
+++ b/src/fleet_link.cpp
@@ -34,8 +34,8 @@
   B.setSequence(S.Sequence);
   B.setLeaving(S.Leaving);
   B.setConfigRevision(S.ConfigRevision);
-  B.setConfigAgeMs(static_cast<uint32_t>(
-      std::clamp<int64_t>(toMillis(S.ConfigAge), 0, UINT32_MAX)));
+  B.setStamp(static_cast<uint64_t>(S.Stamp.time_since_epoch().count()));
+  B.setEcho(static_cast<uint64_t>(S.Echo.time_since_epoch().count()));
   unsigned Targets =
       static_cast<unsigned>(std::min(S.Targets.size(), MaxTargets));
   auto TargetList = B.initTargets(Targets);
@@ -80,7 +80,8 @@
     S.Sequence = R.getSequence();
     S.Leaving = R.getLeaving();
     S.ConfigRevision = R.getConfigRevision();
-    S.ConfigAge = millis(R.getConfigAgeMs());
+    S.Stamp = Time(Duration(static_cast<int64_t>(R.getStamp())));
+    S.Echo = Time(Duration(static_cast<int64_t>(R.getEcho())));
     for (fleetwire::TargetUse::Reader T : R.getTargets()) {
       S.Targets.push_back({T.getTarget(), T.getRunning(), T.getPromptTokens()});
     }
@@ -133,15 +134,30 @@
   this->Peers.erase(hostId(Name));
 }
 
-void FleetLink::send(const FleetState &State, bool SameDomain) {
-  std::string Bytes;
+// An age that one host tells another grows younger by the time under way, and
+// by any time that a suspended host leaves it unread; between hosts that cannot
+// reach the store it would echo without end. So a confirmation is passed on at
+// first hand only, and dated by the receiver's own clock.
+void FleetLink::confirmAsked() {
+  for (auto &Item : this->Peers) {
+    Item.second.AskStamp = Item.second.Stamp;
+  }
+}
+
+void FleetLink::confirmed() {
+  for (auto &Item : this->Peers) {
+    Item.second.Echo = Item.second.AskStamp;
+  }
+}
+
+void FleetLink::send(FleetState &State, bool SameDomain) {
+  State.Stamp = bootTime();
   for (const auto &Item : this->Peers) {
     if (Item.second.SameDomain != SameDomain) {
       continue;
     }
-    if (Bytes.empty()) {
-      Bytes = encodeFleetState(State);
-    }
+    State.Echo = Item.second.Echo;
+    std::string Bytes = encodeFleetState(State);
     sockaddr_in To = toSockaddr(Item.second.Host.At);
     // A datagram that does not leave is as good as one that is lost.
     if (sendto(this->Fd, Bytes.data(), Bytes.size(), 0,
@@ -182,6 +198,11 @@
       continue;
     }
     ++L.Counts.Received;
+    if (P.Run != State.Run) {
+      P.AskStamp = Time();
+      P.Echo = Time();
+    }
+    P.Stamp = State.Stamp;
     P.Run = State.Run;
     P.Sequence = State.Sequence;
     P.Leaving = State.Leaving;
--- a/src/fleet_link_p.h
+++ b/src/fleet_link_p.h
@@ -28,8 +28,10 @@
   uint64_t Run = 0;
   uint32_t Sequence = 0;
   bool Leaving = false;
-  uint64_t ConfigRevision = 0;
-  Duration ConfigAge{0};
+  uint64_t ConfigRevision = 0; ///< Newest that the store confirmed to it.
+  Time Stamp; ///< Sender's clock; means something to the sender only.
+  Time Echo;  ///< A stamp of the receiver, heard before the sender asked the
+              ///< store for that confirmation; the epoch: none.
   std::vector<TargetUse> Targets;
   std::vector<CustomerUse> Customers;
   std::vector<CrashTally> Crashes;
@@ -48,10 +50,9 @@
   uint64_t Run = 0;
   uint32_t Sequence = 0;
   bool Leaving = false;
-};
-
-struct FleetLinkInit {
-  FleetHost Self;
+  Time Stamp;    ///< Latest that it sent.
+  Time AskStamp; ///< Latest before the confirmation under way was asked.
+  Time Echo;     ///< Latest before the last confirmation was asked.
 };
 
 struct FleetLinkStats {
@@ -71,8 +72,12 @@
 
   void setPeer(const FleetHost &Host, Time Now);
   void removePeer(const std::string &Name);
+  /// The store is asked for a confirmation.
+  void confirmAsked();
+  /// It confirmed.
+  void confirmed();
   /// Sends to peers of the own failure domain, or to all others.
-  void send(const FleetState &State, bool SameDomain);
+  void send(FleetState &State, bool SameDomain);
   const std::map<HostId, FleetPeer> &peers() const { return this->Peers; }
   FleetLinkStats stats() const { return this->Counts; }
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -79,6 +79,7 @@
   std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> Watches;
   uint32_t Sequence = 0;
+  uint64_t ConfirmedRevision = 0; ///< By the store itself.
   Time NextNear;
   Time NextRemote;
   Time NextWeigh;
@@ -279,8 +280,9 @@
     this->Relays->quota().peerUse(State.Host, State.Run, State.Customers);
     this->Relays->crashes().peerCounts(State.Host, State.Crashes,
                                        ProcessClock::now());
-    this->Beliefs->peerConfirms(State.ConfigRevision, State.ConfigAge,
-                                bootTime());
+    if (State.Echo != Time()) {
+      this->Beliefs->peerConfirms(State.ConfigRevision, State.Echo);
+    }
   }
 
   void tell(Time Now) {
@@ -292,10 +294,7 @@
     State.Host = hostId(this->Self.Name);
     State.Run = this->Self.Run;
     State.Leaving = this->Stopping;
-    State.ConfigRevision = this->Beliefs->revision(DirectoryKind::Config);
-    State.ConfigAge =
-        std::min(this->Beliefs->age(DirectoryKind::Config, bootTime()),
-                 Duration(seconds(3600)));
+    State.ConfigRevision = this->ConfirmedRevision;
     State.Targets = this->Relays->ownUse();
     State.Customers = this->Relays->quota().ownUse();
     State.Crashes = this->Relays->crashes().tallies(Now);
@@ -419,6 +418,11 @@
     logBelief("peer-gone", {{"name", Name}});
     this->Link->removePeer(Name);
   }
+  void onConfirmAsked() override { this->Link->confirmAsked(); }
+  void onConfirmed(uint64_t ConfigRevision) override {
+    this->ConfirmedRevision = ConfigRevision;
+    this->Link->confirmed();
+  }
   void onStore(bool Reachable) override {
     logBelief(Reachable ? "store-regained" : "store-lost", LogFields::object());
   }
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -70,6 +70,8 @@
   void onHost(const FleetHost &) override {}
   void onHostGone(const std::string &) override {}
   void onStore(bool) override {}
+  void onConfirmAsked() override {}
+  void onConfirmed(uint64_t) override {}
 };
 
 class RelayHarness {
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -51,6 +51,10 @@
   void onHost(const FleetHost &) override {}
   void onHostGone(const std::string &) override {}
   void onStore(bool Reachable) override { this->Store.push_back(Reachable); }
+  void onConfirmAsked() override { ++this->Asked; }
+  void onConfirmed(uint64_t Revision) override { this->Confirmed = Revision; }
+  int Asked = 0;
+  uint64_t Confirmed = 0;
 };
 } // namespace
 
@@ -175,12 +179,36 @@
 TEST(DirectoryBeliefs, aPeersConfirmationCountsOnlyForTheSameRevision) {
   listAll();
   Duration Before = D->age(DirectoryKind::Config, Now);
-  D->peerConfirms(11, millis(100), Now);
+  D->peerConfirms(11, Now - millis(100));
   CHECK(D->age(DirectoryKind::Config, Now) == Before);
-  D->peerConfirms(10, millis(100), Now);
+  D->peerConfirms(10, Now - millis(100));
   CHECK(D->age(DirectoryKind::Config, Now) == millis(100));
 }
 
+// Two hosts that the store turned away told each other their ages, and each
+// round made them younger: a key was used 5.1 s after its removal.
+TEST(DirectoryBeliefs, whatPeersRepeatNeverMakesABeliefYounger) {
+  listAll();
+  Time Heard = Now - millis(100);
+  for (int I = 0; I < 200; ++I) {
+    D->peerConfirms(10, Heard);
+    Now += millis(20);
+  }
+  CHECK(D->age(DirectoryKind::Config, Now) == Now - Heard);
+}
+
+TEST(DirectoryBeliefs, onlyTheStoresOwnWordIsPassedOn) {
+  listAll();
+  D->peerConfirms(10, Now - millis(100));
+  CHECK_EQUAL(0, Seen.Confirmed);
+  advance(1800);
+  take('w', DirectoryKind::Config);
+  CHECK_EQUAL(1, Seen.Asked);
+  CHECK_EQUAL(0, Seen.Confirmed);
+  reply('w', DirectoryKind::Config, {}, 12);
+  CHECK_EQUAL(10, Seen.Confirmed);
+}
+
 TEST(DirectoryBeliefs, aSilentStoreIsNoticedAndAllIsListedAfterIt) {
   listAll();
   advance(3000);
--- a/tests/test_fleet_limits.cpp
+++ b/tests/test_fleet_limits.cpp
@@ -103,7 +103,8 @@
   S.Run = 3;
   S.Sequence = 9;
   S.ConfigRevision = 44;
-  S.ConfigAge = millis(120);
+  S.Stamp = Time(millis(120));
+  S.Echo = Time(millis(90));
   S.Targets = {{5, 2, 800}};
   S.Customers = {{Id, 123456789}};
   S.Crashes = {{Fingerprint{77}, 2}};
@@ -113,7 +114,8 @@
   CHECK_EQUAL(800, T.Targets[0].PromptTokens);
   CHECK_EQUAL(123456789, T.Customers[0].Admitted);
   CHECK_EQUAL(2, T.Crashes[0].Count);
-  CHECK(T.ConfigAge == millis(120));
+  CHECK(T.Stamp == S.Stamp);
+  CHECK(T.Echo == S.Echo);
 }
 
 TEST(FleetLimits, bytesThatAreNoStateAreRefused) {
