--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -167,7 +167,7 @@
   return R;
 }
 
-RelayHarness::RelayHarness() : Base(event_base_new()) {
+RelayHarness::RelayHarness(Duration TrustedAge) : Base(event_base_new()) {
   std::shared_ptr<RoutingConfig> C = std::make_shared<RoutingConfig>();
   C->Version = 1;
   C->Routes = {route("safe", RouteKind::Idempotent, 2, false),
@@ -191,8 +191,8 @@
   RelayInit Init;
   Init.Domain = "north";
   Init.Budget.Extra = 100;
-  Init.KeyAgeLimit = seconds(3600);
-  Init.FreshAge = seconds(3600);
+  Init.KeyAgeLimit = TrustedAge;
+  Init.FreshAge = TrustedAge;
   Init.Headers.RequestId = "X-Id";
   Init.Headers.DeadlineMs = "X-Deadline";
   Init.Headers.Customer = "X-Customer";
@@ -229,6 +229,10 @@
 }
 
 size_t RelayHarness::connect() {
+  return this->connect(this->Relay->callerAddress());
+}
+
+size_t RelayHarness::connect(const Address &At) {
   std::unique_ptr<Caller> C = std::make_unique<Caller>();
   C->Socket = bufferevent_socket_new(this->Base, -1, BEV_OPT_CLOSE_ON_FREE);
   auto OnRead = [](bufferevent *Socket, void *Arg) {
@@ -245,7 +249,7 @@
   };
   bufferevent_setcb(C->Socket, OnRead, nullptr, OnEvent, C.get());
   bufferevent_enable(C->Socket, EV_READ | EV_WRITE);
-  sockaddr_in To = toSockaddr(this->Relay->callerAddress());
+  sockaddr_in To = toSockaddr(At);
   bufferevent_socket_connect(C->Socket, reinterpret_cast<sockaddr *>(&To),
                              sizeof(To));
   this->Callers.push_back(std::move(C));
@@ -286,7 +290,14 @@
                               const std::string &Await,
                               const std::string &Extra,
                               const std::string &Key) {
-  size_t Caller = this->connect();
+  return this->askAt(this->Relay->callerAddress(), Path, Id, Await, Extra, Key);
+}
+
+std::string RelayHarness::askAt(const Address &To, const std::string &Path,
+                                const std::string &Id, const std::string &Await,
+                                const std::string &Extra,
+                                const std::string &Key) {
+  size_t Caller = this->connect(To);
   this->send(Caller, "POST " + Path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
                          "\r\nX-Deadline: 20000\r\nAuthorization: Token " +
                          Key + "\r\n" + Extra +
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -76,7 +76,8 @@
 
 class RelayHarness {
 public:
-  RelayHarness();
+  /// \p TrustedAge: age up to which the relay trusts its configuration.
+  explicit RelayHarness(Duration TrustedAge = seconds(3600));
   ~RelayHarness();
   RelayHarness(const RelayHarness &) = delete;
   RelayHarness &operator=(const RelayHarness &) = delete;
@@ -84,6 +85,7 @@
   ScriptedTarget &target(const std::string &Instance);
   /// Opens a caller's connection; returns its number.
   size_t connect();
+  size_t connect(const Address &To);
   void send(size_t Caller, const std::string &Bytes);
   void close(size_t Caller);
   /// Everything that a caller received so far.
@@ -97,6 +99,12 @@
                   const std::string &Await, const std::string &Extra = "",
                   const std::string &Key = "good");
 
+  /// The same at another relay.
+  std::string askAt(const Address &To, const std::string &Path,
+                    const std::string &Id, const std::string &Await,
+                    const std::string &Extra = "",
+                    const std::string &Key = "good");
+
   RelayTable &relay() { return *this->Relay; }
   event_base *Base;
   FixedStore Store;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -282,3 +282,66 @@
   CHECK_EQUAL(0, Last.Requests.size());
   CHECK(contains(H->ask("/once/good", "r9", "fine"), " 200 "));
 }
+
+TEST(Relaying, aTargetIsToldTheTimeThatIsLeft) {
+  ScriptedTarget &T = H->target("i-1");
+  H->ask("/safe/x", "r1", "fine");
+  size_t At = T.Requests.at(0).find("X-Deadline: ");
+  CHECK(At != std::string::npos);
+  CHECK(atoi(T.Requests.at(0).c_str() + At + 12) <= 20000);
+  CHECK(T.Requests.at(0).find("X-Deadline: ", At + 1) == std::string::npos);
+}
+
+TEST(Relaying, aRequestThatWasSentEndsAtItsDeadlineAsMayHaveRun) {
+  ScriptedTarget &T = H->target("i-1");
+  script(T, {{"", Then::Hold, false}});
+  size_t Caller = H->connect();
+  H->send(Caller, "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "X-Deadline: 80\r\nAuthorization: Token good\r\n"
+                  "Content-Length: 0\r\n\r\n");
+  CHECK(H->until([&] { return contains(H->received(Caller), "\r\n\r\n"); }));
+  CHECK(contains(H->received(Caller), " 504 "));
+  CHECK(H->until([&] { return T.Closed == 1; }));
+}
+
+TEST(Relaying, aRequestThatWaitsToItsDeadlineHasNotRun) {
+  size_t Caller = H->connect();
+  ScriptedTarget &T = H->target("i-1");
+  TargetEntry Full = T.entry();
+  Full.Slots = 1;
+  H->relay().setTarget(Full);
+  H->relay().peerUse(HostId{5}, {{static_cast<uint32_t>(hash64("i-1")), 1, 0}});
+  H->send(Caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "X-Deadline: 80\r\nAuthorization: Token good\r\n"
+                  "Content-Length: 0\r\n\r\n");
+  CHECK(H->until([&] { return contains(H->received(Caller), "\r\n\r\n"); }));
+  CHECK(contains(H->received(Caller), " 503 "));
+  CHECK_EQUAL(0, T.Requests.size());
+}
+
+// Past the age at which a removed key could still be known, work with a key is
+// refused before it can run, and an unknown route or key is no 404 or 401.
+TEST(Relaying, withAnOldConfigurationKeysAreRefusedAsNotRun) {
+  H = std::make_unique<RelayHarness>(Duration(0));
+  ScriptedTarget &T = H->target("i-1");
+  std::string Got = H->ask("/safe/x", "r1", "\r\n\r\n");
+  CHECK(contains(Got, " 503 "));
+  CHECK(contains(Got, "Retry-After"));
+  CHECK(contains(H->ask("/none/x", "r2", "\r\n\r\n"), " 503 "));
+  CHECK(contains(H->ask("/safe/x", "r3", "\r\n\r\n", "", "bad"), " 503 "));
+  CHECK_EQUAL(0, T.Requests.size());
+}
+
+TEST(Relaying, aHostWithoutAConfigurationRefusesAsNotRun) {
+  RelayInit Init;
+  Init.Headers.RequestId = "X-Id";
+  FixedStore Empty;
+  NoEvents Ignored;
+  Directory Nothing(Empty, Ignored, 1);
+  FrontInit Front;
+  Front.At = Address{"127.0.0.1", 0};
+  RelayTable Bare(H->Base, Front, Init, Nothing);
+  CHECK_EQUAL(0, Bare.stats().Held);
+  std::string Got = H->askAt(Bare.callerAddress(), "/safe/x", "r1", "\r\n\r\n");
+  CHECK(contains(Got, " 503 "));
+}
