--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -33,4 +33,5 @@
   targets @7 :List(TargetUse);
   customers @8 :List(CustomerUse);
   crashes @9 :List(CrashTally);
+  echoRun @10 :UInt64;       # The receiver's run that sent that stamp.
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -377,6 +377,8 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline  ::uint64_t getEchoRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -447,6 +449,9 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline  ::uint64_t getEchoRun();
+  inline void setEchoRun( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -773,6 +778,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetState::Reader::getEchoRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetState::Builder::getEchoRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setEchoRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/fleet_link.cpp
+++ b/src/fleet_link.cpp
@@ -26,6 +26,10 @@
 // Datagrams read in one turn of the loop.
 static constexpr int ReadBatch = 64;
 
+bool echoIsOwn(const FleetState &State, uint64_t OwnRun, Time Now) {
+  return State.Echo != Time() && State.EchoRun == OwnRun && State.Echo <= Now;
+}
+
 std::string encodeFleetState(const FleetState &S) {
   capnp::MallocMessageBuilder Message;
   fleetwire::FleetState::Builder B = Message.initRoot<fleetwire::FleetState>();
@@ -36,6 +40,7 @@
   B.setConfigRevision(S.ConfigRevision);
   B.setStamp(static_cast<uint64_t>(S.Stamp.time_since_epoch().count()));
   B.setEcho(static_cast<uint64_t>(S.Echo.time_since_epoch().count()));
+  B.setEchoRun(S.EchoRun);
   unsigned Targets =
       static_cast<unsigned>(std::min(S.Targets.size(), MaxTargets));
   auto TargetList = B.initTargets(Targets);
@@ -82,6 +87,7 @@
     S.ConfigRevision = R.getConfigRevision();
     S.Stamp = Time(Duration(static_cast<int64_t>(R.getStamp())));
     S.Echo = Time(Duration(static_cast<int64_t>(R.getEcho())));
+    S.EchoRun = R.getEchoRun();
     for (fleetwire::TargetUse::Reader T : R.getTargets()) {
       S.Targets.push_back({T.getTarget(), T.getRunning(), T.getPromptTokens()});
     }
@@ -157,6 +163,7 @@
       continue;
     }
     State.Echo = Item.second.Echo;
+    State.EchoRun = Item.second.Run;
     std::string Bytes = encodeFleetState(State);
     sockaddr_in To = toSockaddr(Item.second.Host.At);
     // A datagram that does not leave is as good as one that is lost.
--- a/src/fleet_link_p.h
+++ b/src/fleet_link_p.h
@@ -32,11 +32,15 @@
   Time Stamp; ///< Sender's clock; means something to the sender only.
   Time Echo;  ///< A stamp of the receiver, heard before the sender asked the
               ///< store for that confirmation; the epoch: none.
+  uint64_t EchoRun = 0; ///< The receiver's run that sent that stamp.
   std::vector<TargetUse> Targets;
   std::vector<CustomerUse> Customers;
   std::vector<CrashTally> Crashes;
 };
 
+/// Whether the echo in \p State is a stamp of this run, at the latest \p Now.
+/// A stamp of a former run counts from another start of the clock.
+bool echoIsOwn(const FleetState &State, uint64_t OwnRun, Time Now);
 std::string encodeFleetState(const FleetState &State);
 /// False: the bytes are not a state.
 bool decodeFleetState(std::string_view Bytes, FleetState &State);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -280,7 +280,7 @@
     this->Relays->quota().peerUse(State.Host, State.Run, State.Customers);
     this->Relays->crashes().peerCounts(State.Host, State.Crashes,
                                        ProcessClock::now());
-    if (State.Echo != Time()) {
+    if (echoIsOwn(State, this->Self.Run, bootTime())) {
       this->Beliefs->peerConfirms(State.ConfigRevision, State.Echo);
     }
   }
--- a/tests/test_fleet_limits.cpp
+++ b/tests/test_fleet_limits.cpp
@@ -105,6 +105,7 @@
   S.ConfigRevision = 44;
   S.Stamp = Time(millis(120));
   S.Echo = Time(millis(90));
+  S.EchoRun = 8;
   S.Targets = {{5, 2, 800}};
   S.Customers = {{Id, 123456789}};
   S.Crashes = {{Fingerprint{77}, 2}};
@@ -116,6 +117,7 @@
   CHECK_EQUAL(2, T.Crashes[0].Count);
   CHECK(T.Stamp == S.Stamp);
   CHECK(T.Echo == S.Echo);
+  CHECK_EQUAL(8, T.EchoRun);
 }
 
 TEST(FleetLimits, bytesThatAreNoStateAreRefused) {
@@ -146,3 +148,16 @@
   Guard.died("t", Now + seconds(10));
   CHECK_FALSE(Guard.refused(Fingerprint{1}, Now + seconds(10)));
 }
+
+// A host that lost power began a new clock; a peer still echoed a stamp of its
+// former run, which lay hours ahead, and the host trusted its keys for ever.
+TEST(FleetLimits, anEchoOfAFormerRunIsNotTaken) {
+  FleetState S;
+  S.Echo = Time(seconds(50));
+  S.EchoRun = 8;
+  CHECK(echoIsOwn(S, 8, Time(seconds(60))));
+  CHECK_FALSE(echoIsOwn(S, 9, Time(seconds(60))));
+  CHECK_FALSE(echoIsOwn(S, 8, Time(seconds(40))));
+  S.Echo = Time();
+  CHECK_FALSE(echoIsOwn(S, 8, Time(seconds(60))));
+}
