--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -10,7 +10,6 @@
 
 namespace shallotlatch {
 
-
 void RelayTable::fail(Relay &R, int Status, const char *Why) {
   if (R.Begun) {
     this->Front.breakOff(R.Ask.Exchange);
