--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -213,7 +213,7 @@
   return std::max(MinReturn, Duration(static_cast<int64_t>(Wait)));
 }
 
-void PlacePool::decide(Time Now, std::vector<Placement> &Placed,
+void PlacePool::decide(Time Now, std::vector<PlacedRun> &Placed,
                        std::vector<PlaceRefusal> &Refused) {
   std::vector<Order> Done;
   std::vector<Order> Late;
@@ -233,7 +233,7 @@
     }
     if (Best.At != nullptr) {
       this->occupy(*Best.At, Ask, Now);
-      Placement P;
+      PlacedRun P;
       P.Run = Ask.Run;
       P.Target = Best.At->Entry;
       P.Predicted = Best.Predicted;
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -31,7 +31,7 @@
   std::vector<std::string> Tried; ///< Instances not to be used again.
 };
 
-struct Placement {
+struct PlacedRun {
   RunId Run;
   TargetEntry Target;
   Duration Predicted{0}; ///< To the first event.
@@ -84,7 +84,7 @@
   void enqueue(const PlaceAsk &Ask);
   void withdraw(RunId Run);
   /// Fills what can be placed and what has to be refused now.
-  void decide(Time Now, std::vector<Placement> &Placed,
+  void decide(Time Now, std::vector<PlacedRun> &Placed,
               std::vector<PlaceRefusal> &Refused);
   void started(RunId Run, Time Now);
   void ended(RunId Run, RunSign Sign, Time Now);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -247,7 +247,7 @@
 }
 
 void RelayTable::dispatch(ServiceId Id) {
-  std::vector<Placement> Placed;
+  std::vector<PlacedRun> Placed;
   std::vector<PlaceRefusal> Refused;
   this->service(Id).Pool->decide(ProcessClock::now(), Placed, Refused);
   for (const PlaceRefusal &Refusal : Refused) {
@@ -269,7 +269,7 @@
       this->refuse(*R, 503, Refusal.Why, Refusal.RetryAfter);
     }
   }
-  for (const Placement &P : Placed) {
+  for (const PlacedRun &P : Placed) {
     Relay *R = this->find(P.Run);
     if (R != nullptr) {
       this->send(*R, P);
@@ -314,7 +314,7 @@
   return Text;
 }
 
-void RelayTable::send(Relay &R, const Placement &P) {
+void RelayTable::send(Relay &R, const PlacedRun &P) {
   R.Placed = true;
   R.Sent = false;
   R.Target = P.Target;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -159,7 +159,7 @@
   bool keysTrusted() const;
   void place(Relay &R);
   void dispatch(ServiceId Id);
-  void send(Relay &R, const Placement &P);
+  void send(Relay &R, const PlacedRun &P);
   std::string render(const Relay &R) const;
   bool sendAgain(Relay &R, const char *Why);
   void leaveTarget(Relay &R, RunSign Sign);
--- a/tests/test_place_pool.cpp
+++ b/tests/test_place_pool.cpp
@@ -11,7 +11,7 @@
   std::unique_ptr<PlacePool> Pool =
       std::make_unique<PlacePool>(true, "north", 1);
   uint64_t NextRun = 1;
-  std::vector<Placement> Placed;
+  std::vector<PlacedRun> Placed;
   std::vector<PlaceRefusal> Refused;
 
   void target(const std::string &Name, uint32_t Slots,
@@ -137,7 +137,7 @@
   }
   decide();
   CHECK_EQUAL(5, Placed.size());
-  for (const Placement &P : Placed) {
+  for (const PlacedRun &P : Placed) {
     CHECK(P.Target.Instance != "dead");
   }
   Now += millis(300);
@@ -146,7 +146,7 @@
   }
   decide();
   RunId Probe;
-  for (const Placement &P : Placed) {
+  for (const PlacedRun &P : Placed) {
     if (P.Target.Instance == "dead") {
       CHECK_FALSE(Probe.isValid());
       Probe = P.Run;
@@ -159,7 +159,7 @@
   }
   decide();
   uint32_t Back = 0;
-  for (const Placement &P : Placed) {
+  for (const PlacedRun &P : Placed) {
     Back += P.Target.Instance == "dead" ? 1 : 0;
   }
   CHECK(Back > 1);
