One readAddress; one place that chooses between not run and may have run

The gateway's settings repeated settings.cpp's reader, and the choice between a refusal and a failure stood four times.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,23 +1,10 @@
 #include "shallotlatch/gateway.h"
 
-#include "json_reader_p.h"
+#include "settings_reader_p.h"
 #include "shallotlatch/model.h"
 
 namespace shallotlatch {
 
-static void readAt(ObjectReader &R, const char *Field, Address &Value) {
-  std::string Text;
-  R.text(Field, Text);
-  if (Text.empty()) {
-    return;
-  }
-  try {
-    Value = parseAddress(Text);
-  } catch (const std::invalid_argument &E) {
-    R.mistake(Field, E.what());
-  }
-}
-
 static void readSeconds(ObjectReader &R, const char *Field, Duration &Value) {
   double Count = toSeconds(Value);
   R.number(Field, Count, 0.1, 3600);
@@ -35,10 +22,10 @@
   R.text("host", S.Host);
   R.text("failureDomain", S.Domain);
   R.text("region", S.Region);
-  readAt(R, "caller", S.Caller);
-  readAt(R, "ready", S.Ready);
-  readAt(R, "peer", S.Peer);
-  readAt(R, "store", S.Store);
+  readAddress(R, "caller", S.Caller);
+  readAddress(R, "ready", S.Ready);
+  readAddress(R, "peer", S.Peer);
+  readAddress(R, "store", S.Store);
   R.whole("metricsPort", S.MetricsPort, 0, 65535);
   R.duration("revocationMs", S.RevocationLimit, 100, 3600 * 1000);
   readSeconds(R, "stopGraceSeconds", S.StopGrace);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -263,11 +263,7 @@
                             {"slots", Pool.Slots},
                             {"targets", Pool.Usable},
                             {"return-ms", toMillis(Refusal.RetryAfter)}});
-    if (R->Begun || R->MayHaveRun) {
-      this->fail(*R, 502, Refusal.Why);
-    } else {
-      this->refuse(*R, 503, Refusal.Why, Refusal.RetryAfter);
-    }
+    this->giveUp(*R, Refusal.Why, Refusal.RetryAfter);
   }
   for (const PlacedRun &P : Placed) {
     Relay *R = this->find(P.Run);
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -41,10 +41,8 @@
   this->leaveTarget(*R, RunSign::Unknown);
   if (Trusted) {
     this->place(*R);
-  } else if (R->MayHaveRun || R->Begun) {
-    this->fail(*R, 502, "the key cannot be confirmed");
   } else {
-    this->refuse(*R, 503, "the key cannot be confirmed", NotReadyReturn);
+    this->giveUp(*R, "the key cannot be confirmed", NotReadyReturn);
   }
   return false;
 }
@@ -203,20 +201,14 @@
              {{"id", R.RequestId}, {"target", R.Target.Instance}});
     if (++R.ConnectFails < MaxConnectFails) {
       this->place(R);
-    } else if (R.MayHaveRun || R.Begun) {
-      this->fail(R, 502, "no target could be reached");
     } else {
-      this->refuse(R, 503, "no target could be reached", FailReturn);
+      this->giveUp(R, "no target could be reached", FailReturn);
     }
   } else if (How == WireEnd::Complete && R.NotRun) {
     --R.Attempts;
     this->leaveTarget(R, RunSign::Full);
     if (!this->sendAgain(R, "the target did not run it")) {
-      if (R.MayHaveRun || R.Begun) {
-        this->fail(R, 502, "the target did not run it");
-      } else {
-        this->refuse(R, 503, "the target did not run it", FailReturn);
-      }
+      this->giveUp(R, "the target did not run it", FailReturn);
     }
   } else if (How == WireEnd::Complete) {
     bool Error = R.Status >= 500;
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -46,6 +46,14 @@
   this->finish(R, Outcome::NotRun, Status, Why);
 }
 
+void RelayTable::giveUp(Relay &R, const char *Why, Duration RetryAfter) {
+  if (R.MayHaveRun || R.Begun) {
+    this->fail(R, 502, Why);
+  } else {
+    this->refuse(R, 503, Why, RetryAfter);
+  }
+}
+
 void RelayTable::finish(Relay &R, Outcome Result, int Status, const char *Why) {
   Time Now = ProcessClock::now();
   LogFields Line{
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -167,6 +167,8 @@
   void passWhole(Relay &R);
   void fail(Relay &R, int Status, const char *Why);
   void refuse(Relay &R, int Status, const char *Why, Duration RetryAfter);
+  /// Refuses what has not run, and fails what may have.
+  void giveUp(Relay &R, const char *Why, Duration RetryAfter);
   void finish(Relay &R, Outcome Result, int Status, const char *Why);
 
   event_base *Base;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,6 +1,6 @@
 #include "shallotlatch/settings.h"
 
-#include "json_reader_p.h"
+#include "settings_reader_p.h"
 #include "shallotlatch/model.h"
 
 #include <arpa/inet.h>
@@ -28,7 +28,7 @@
   throw std::invalid_argument("expected IP:port, found \"" + Text + "\"");
 }
 
-static void readAddress(ObjectReader &R, const char *Field, Address &Value) {
+void readAddress(ObjectReader &R, const char *Field, Address &Value) {
   std::string Text;
   R.text(Field, Text);
   if (Text.empty()) {
