Hosts that another one leads read targets late and let it confirm the configuration

Counted by kind: waits that ran out, 66 hosts woken by each change of a target, three kinds probing at once while the store turned hosts away. Now: the owner of a domain leads: it reads exactly and tells its domain which targets leave; the others read targets late (a tenth of the price). One kind probes an absent store. Waits of 15 s: 30 s outlived the store's history.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -34,6 +34,7 @@
   customers @8 :List(CustomerUse);
   crashes @9 :List(CrashTally);
   echoRun @10 :UInt64;       # The receiver's run that sent that stamp.
+  departing @11 :List(UInt32); # Runs of targets that are leaving or gone.
 }
 
 struct WaitingAsk {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -88,7 +88,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -512,6 +512,9 @@
 
   inline  ::uint64_t getEchoRun() const;
 
+  inline bool hasDeparting() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDeparting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -585,6 +588,14 @@
   inline  ::uint64_t getEchoRun();
   inline void setEchoRun( ::uint64_t value);
 
+  inline bool hasDeparting();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDeparting();
+  inline void setDeparting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDeparting(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDeparting(unsigned int size);
+  inline void adoptDeparting(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDeparting();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1752,6 +1763,44 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetState::Reader::hasDeparting() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetState::Builder::hasDeparting() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetState::Reader::getDeparting() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetState::Builder::getDeparting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FleetState::Builder::setDeparting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void FleetState::Builder::setDeparting(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetState::Builder::initDeparting(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FleetState::Builder::adoptDeparting(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> FleetState::Builder::disownDeparting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t WaitingAsk::Reader::getSerial() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -7,9 +7,10 @@
 
 namespace shallotlatch {
 
-// How long a watch waits at the store. Each wait is a priced call, so waits are
-// long; a connection that went silent is found by its keep-alive probes.
-static constexpr Duration WatchWait = seconds(10);
+// How long a watch waits at the store: below the 20 s of history that the
+// stores in use keep, since a longer wait without an event ends in a new list.
+// Each wait is a priced call; keep-alive probes find silent connections.
+static constexpr Duration WatchWait = seconds(15);
 // An answer this late after its wait is given up, and the connection with it.
 static constexpr Duration CallMargin = millis(900);
 // Pause before the next watch, so that changes in quick succession come
@@ -22,6 +23,9 @@
 // differ, so that one asks and the others hear of it from that one.
 static constexpr Duration ConfirmAge = millis(1100);
 static constexpr Duration ConfirmSpread = millis(600);
+// A host that hears confirmations from another one waits this much longer: it
+// asks only when that host has failed to.
+static constexpr Duration ConfirmBackup = millis(700);
 // First pause after a failed call; doubles up to the longest.
 static constexpr Duration FirstPause = millis(100);
 static constexpr Duration LongestPause = millis(800);
@@ -73,6 +77,38 @@
   }
 }
 
+// The configuration has the tightest bounds. Peers are found by their
+// datagrams, so a late list of them costs nothing. Targets that leave are told
+// by the host that leads; after an outage only the newest list tells what has
+// not come back.
+ReadMode Directory::mode(DirectoryKind Kind) const {
+  switch (Kind) {
+  case DirectoryKind::Config:
+    return ReadMode::Exact;
+  case DirectoryKind::Targets:
+    return this->Lead || this->Now < this->LapseUntil ? ReadMode::Exact
+                                                      : ReadMode::MayLag;
+  case DirectoryKind::Hosts:
+    return ReadMode::MayLag;
+  }
+  return ReadMode::Exact;
+}
+
+void Directory::setLead(bool Leads, Time At) {
+  if (Leads == this->Lead) {
+    return;
+  }
+  this->Lead = Leads;
+  logBelief("store-lead", {{"lead", Leads}});
+  Feed &F = this->feed(DirectoryKind::Targets);
+  if (Leads && F.Known && !F.Listing) {
+    // The watch under way may be behind; its answer is dropped.
+    F.Waiting = false;
+    ++F.Call;
+    F.NextCall = At;
+  }
+}
+
 void Directory::call(DirectoryKind Kind, Time At) {
   Feed &F = this->feed(Kind);
   F.Waiting = true;
@@ -84,7 +120,7 @@
   if (F.Listing) {
     this->Store.list(Kind, F.After, Done);
   } else {
-    this->Store.watch(Kind, F.At, WatchWait, Done);
+    this->Store.watch(Kind, F.At, WatchWait, this->mode(Kind), Done);
   }
 }
 
@@ -98,7 +134,10 @@
       DirectoryReply Late;
       this->replied(Kind, F.Call, std::move(Late));
     }
-    if (!F.Waiting && At >= F.NextCall) {
+    // While the store is away one kind asks for all.
+    bool Asks =
+        this->Reachable || Kind == DirectoryKind::Config || F.Failures == 0;
+    if (!F.Waiting && At >= F.NextCall && Asks) {
       this->call(Kind, At);
     }
     std::vector<std::string> Lapsed;
@@ -133,7 +172,8 @@
       hashPair(this->Seed, F.Confirmed.time_since_epoch().count()) %
       static_cast<uint64_t>(ConfirmSpread.count())));
   if (!F.Known || F.Listing || !this->Reachable ||
-      At - F.Confirmed < ConfirmAge + Spread) {
+      At - F.Confirmed <
+          ConfirmAge + Spread + (this->Lead ? Duration(0) : ConfirmBackup)) {
     return;
   }
   F.Confirming = true;
@@ -141,7 +181,7 @@
   this->Events.onConfirmAsked();
   Time AskedAt = At;
   uint64_t From = F.At;
-  this->Store.watch(DirectoryKind::Config, From, Duration(0),
+  this->Store.watch(DirectoryKind::Config, From, Duration(0), ReadMode::Exact,
                     [this, AskedAt, From](DirectoryReply &&Reply) {
                       Feed &Own = this->feed(DirectoryKind::Config);
                       if (Own.Confirming && Own.ConfirmAskedAt == AskedAt) {
@@ -274,6 +314,9 @@
 
 void Directory::reached() {
   this->Reachable = true;
+  for (Feed &F : this->Feeds) {
+    F.NextCall = this->Now;
+  }
   if (this->Now - this->FailingSince > ShortOutage) {
     this->LapseUntil = this->Now + LapseGrace;
   }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -41,6 +41,12 @@
   bool More = false;
 };
 
+/// How new what the store tells has to be.
+enum class ReadMode : uint8_t {
+  Exact,  ///< All that was acknowledged before the call.
+  MayLag, ///< Cheaper; may be seconds behind.
+};
+
 /// Backend of the directory: one call each, no retries of its own.
 class DirectoryStore {
 public:
@@ -49,7 +55,7 @@
   virtual void list(DirectoryKind Kind, const std::string &After,
                     Reply Done) = 0;
   virtual void watch(DirectoryKind Kind, uint64_t Revision, Duration Wait,
-                     Reply Done) = 0;
+                     ReadMode Mode, Reply Done) = 0;
   virtual void announce(const FleetHost &Self, Reply Done) = 0;
   virtual void forget(const std::string &HostName, Reply Done) = 0;
 };
@@ -86,6 +92,9 @@
   /// Hosts that watch the same store: with more of them, changes are gathered
   /// for longer, so that the calls a second of the fleet stay bounded.
   void setPeers(uint32_t Peers) { this->Peers = Peers; }
+  /// Whether this host asks the store itself for what is urgent; otherwise it
+  /// hears of it from another host of its failure domain that does.
+  void setLead(bool Lead, Time Now);
   /// Removes a peer's entry; peers agreed that it is gone.
   void forgetHost(const std::string &Name);
 
@@ -125,6 +134,7 @@
 
   static size_t index(DirectoryKind Kind) { return static_cast<size_t>(Kind); }
   Feed &feed(DirectoryKind Kind) { return this->Feeds[index(Kind)]; }
+  ReadMode mode(DirectoryKind Kind) const;
   void call(DirectoryKind Kind, Time Now);
   void replied(DirectoryKind Kind, uint32_t Call, DirectoryReply &&Reply);
   void confirm(Time Now);
@@ -142,6 +152,7 @@
   DirectoryEvents &Events;
   uint64_t Seed;
   uint32_t Peers = 0;
+  bool Lead = true;
   Feed Feeds[DirectoryKinds];
   FleetHost Self;
   std::shared_ptr<const RoutingConfig> Config;
--- a/src/domain_owner.cpp
+++ b/src/domain_owner.cpp
@@ -15,8 +15,8 @@
   for (const OwnerCandidate &C : Candidates) {
     bool Larger = Best == nullptr || C.Cores > Best->Cores;
     bool Equal = Best != nullptr && C.Cores == Best->Cores;
-    if (Larger || (Equal && hashPair(C.Host.Value, 0) <
-                                hashPair(Best->Host.Value, 0))) {
+    if (Larger ||
+        (Equal && hashPair(C.Host.Value, 0) < hashPair(Best->Host.Value, 0))) {
       Best = &C;
     }
   }
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -14,6 +14,7 @@
 static constexpr size_t MaxTargets = 400;
 static constexpr size_t MaxCustomers = 64;
 static constexpr size_t MaxCrashes = 16;
+static constexpr size_t MaxDeparting = 256;
 // Of one service on one host; a host of the usual size holds some dozens.
 static constexpr size_t MaxWaiting = 200;
 static constexpr size_t MaxHeld = 600;
@@ -27,8 +28,7 @@
 }
 
 static uint32_t wireMillis(Duration D) {
-  return static_cast<uint32_t>(
-      std::clamp<int64_t>(toMillis(D), 0, UINT32_MAX));
+  return static_cast<uint32_t>(std::clamp<int64_t>(toMillis(D), 0, UINT32_MAX));
 }
 
 static unsigned wireCount(size_t Count, size_t Most) {
@@ -75,10 +75,14 @@
     CrashList[I].setCount(
         static_cast<uint8_t>(std::min(S.Crashes[I].Count, 255U)));
   }
+  unsigned Departing = wireCount(S.Departing.size(), MaxDeparting);
+  auto DepartingList = B.initDeparting(Departing);
+  for (unsigned I = 0; I < Departing; ++I) {
+    DepartingList.set(I, S.Departing[I]);
+  }
   return pack(Message);
 }
 
-
 std::string encodePlaceBook(const PlaceBook &S) {
   capnp::MallocMessageBuilder Message;
   fleetwire::PlaceBook::Builder B =
@@ -113,8 +117,7 @@
   for (unsigned I = 0; I < Held; ++I) {
     HeldList[I].setSerial(S.Held[I].Serial.Value);
     HeldList[I].setTarget(S.Held[I].Target);
-    HeldList[I].setPromptTokens(
-        static_cast<uint32_t>(S.Held[I].PromptTokens));
+    HeldList[I].setPromptTokens(static_cast<uint32_t>(S.Held[I].PromptTokens));
     HeldList[I].setStarted(S.Held[I].Started);
   }
   unsigned Ended = wireCount(S.Ended.size(), MaxHeld);
@@ -173,6 +176,9 @@
   for (fleetwire::CrashTally::Reader C : R.getCrashes()) {
     S.Crashes.push_back({Fingerprint{C.getFingerprint()}, C.getCount()});
   }
+  for (uint32_t Run : R.getDeparting()) {
+    S.Departing.push_back(Run);
+  }
   return S;
 }
 
--- a/src/fleet_codec_p.h
+++ b/src/fleet_codec_p.h
@@ -27,6 +27,9 @@
   std::vector<TargetUse> Targets;
   std::vector<CustomerUse> Customers;
   std::vector<CrashTally> Crashes;
+  /// Short names of runs of targets that are leaving or gone, as the sender
+  /// heard from the store.
+  std::vector<uint32_t> Departing;
 };
 
 /// Whether the echo in \p State is a stamp of this run, at the latest \p Now.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -291,6 +291,9 @@
   }
   void onState(const FleetState &State) override {
     this->Relays->peerUse(State.Host, State.Targets);
+    if (State.Host == this->Owner) {
+      this->Relays->ownerDeparting(State.Departing);
+    }
     this->Relays->quota().peerUse(State.Host, State.Run, State.Customers);
     this->Relays->crashes().peerCounts(State.Host, State.Crashes,
                                        ProcessClock::now());
@@ -312,6 +315,7 @@
     State.Targets = this->Relays->ownUse();
     State.Customers = this->Relays->quota().ownUse();
     State.Crashes = this->Relays->crashes().tallies(Now);
+    State.Departing = this->Relays->departing(Now);
     std::string Use;
     for (const TargetUse &U : State.Targets) {
       Use += std::to_string(U.Target) + ":" + std::to_string(U.Running) + ":" +
@@ -320,6 +324,9 @@
     for (const CustomerUse &U : State.Customers) {
       Use += std::to_string(U.Admitted) + " ";
     }
+    for (uint32_t Run : State.Departing) {
+      Use += "-" + std::to_string(Run);
+    }
     bool Repeat = Now >= this->NextRepeat;
     bool Changed = Use != this->LastUse;
     if ((Changed && Now >= this->NextNear) || Repeat) {
@@ -329,6 +336,7 @@
       Duration Interval = this->Owner.isValid() ? OwnedInterval : TickInterval;
       this->NextNear = Now + Interval * (this->Near / NearPeers);
     }
+    State.Departing.clear(); // For the hosts of the own domain only.
     if (Now >= this->NextRemote) {
       State.Sequence = ++this->Sequence;
       this->Link->send(State, [](const FleetPeer &P) { return !P.SameDomain; });
@@ -412,6 +420,11 @@
     this->Owner = Owners[this->Self.Domain];
     bool Own = this->Owner == hostId(this->Self.Name);
     this->Relays->setOwner(Own ? HostId() : this->Owner);
+    bool Led = this->Owner.isValid() && !Own;
+    if (!Led) {
+      this->Relays->ownerDeparting({});
+    }
+    this->Beliefs->setLead(!Led, bootTime());
     return Placers;
   }
 
--- a/src/place_books_p.h
+++ b/src/place_books_p.h
@@ -30,9 +30,9 @@
   double PromptTokens = 0;
   double OutputTokens = 0;
   Duration Objective{0};
-  Duration Waited{0}; ///< At its holder.
-  Duration Spent{0};  ///< Since its caller's first attempt.
-  Duration Left{0};   ///< Until nobody waits for it.
+  Duration Waited{0};          ///< At its holder.
+  Duration Spent{0};           ///< Since its caller's first attempt.
+  Duration Left{0};            ///< Until nobody waits for it.
   std::vector<uint32_t> Tried; ///< Hashes of instances.
 };
 
--- a/src/place_holder.cpp
+++ b/src/place_holder.cpp
@@ -71,10 +71,9 @@
   }
 }
 
-void PlaceHolder::receive(
-    const PlaceReply &Reply, Time Now,
-    std::vector<std::pair<PlaceAsk, PlaceGrant>> &Granted,
-    std::vector<PlaceRefusal> &Refused) {
+void PlaceHolder::receive(const PlaceReply &Reply, Time Now,
+                          std::vector<std::pair<PlaceAsk, PlaceGrant>> &Granted,
+                          std::vector<PlaceRefusal> &Refused) {
   if (Reply.Host != this->Owner || Reply.Sequence > this->Sequence) {
     return;
   }
@@ -116,9 +115,8 @@
   for (const auto &Item : this->Asks) {
     Back.push_back(Item.second.Ask);
   }
-  std::sort(Back.begin(), Back.end(), [](const PlaceAsk &A, const PlaceAsk &B) {
-    return A.Run < B.Run;
-  });
+  std::sort(Back.begin(), Back.end(),
+            [](const PlaceAsk &A, const PlaceAsk &B) { return A.Run < B.Run; });
   this->Asks.clear();
   this->Urgent = true;
   return Back;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -65,7 +65,8 @@
     S->Places->pool().setRemoteHosts(this->RemoteHosts);
     for (const auto &Item : this->Targets) {
       if (Item.second.Service == Id) {
-        S->Places->pool().setTarget(Item.second, ProcessClock::now());
+        S->Places->pool().setTarget(this->withDeparture(Item.second),
+                                    ProcessClock::now());
       }
     }
   }
@@ -78,37 +79,6 @@
   this->Quota.configure(*this->Config, ProcessClock::now());
 }
 
-void RelayTable::setTarget(const TargetEntry &Target) {
-  auto It = this->Targets.find(Target.Instance);
-  if (It != this->Targets.end() &&
-      (It->second.Service != Target.Service ||
-       It->second.identity() != Target.identity())) {
-    this->Crashes.died(Target.Instance, ProcessClock::now());
-    this->Wire.dropIdle(It->second.At, It->second.identity());
-    if (It->second.Service != Target.Service) {
-      this->service(It->second.Service)
-          .Places->pool()
-          .removeTarget(Target.Instance);
-    }
-  }
-  this->Targets[Target.Instance] = Target;
-  this->service(Target.Service)
-      .Places->pool()
-      .setTarget(Target, ProcessClock::now());
-  this->dispatch(Target.Service);
-}
-
-void RelayTable::removeTarget(const std::string &Instance) {
-  auto It = this->Targets.find(Instance);
-  if (It == this->Targets.end()) {
-    return;
-  }
-  this->Crashes.died(Instance, ProcessClock::now());
-  this->Wire.dropIdle(It->second.At, It->second.identity());
-  this->service(It->second.Service).Places->pool().removeTarget(Instance);
-  this->Targets.erase(It);
-}
-
 bool RelayTable::keysTrusted() const {
   return this->Beliefs.age(DirectoryKind::Config, bootTime()) <
          this->Init.KeyAgeLimit;
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -27,7 +27,8 @@
   }
   bool Trusted = R->Customer == nullptr || this->keysTrusted();
   auto It = this->Targets.find(R->Target.Instance);
-  bool Usable = It != this->Targets.end() && !It->second.Leaving &&
+  bool Usable = It != this->Targets.end() &&
+                !this->withDeparture(It->second).Leaving &&
                 It->second.identity() == R->Target.identity();
   if (Trusted && Usable) {
     R->Sent = true;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -15,6 +15,7 @@
 #include "shallotlatch/verdict.h"
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -92,6 +93,10 @@
   void receive(const PlaceBook &Book);
   void receive(const PlaceReply &Reply);
   std::vector<TargetUse> ownUse() const;
+  /// Short names of runs of targets that are leaving, or were gone lately.
+  std::vector<uint32_t> departing(Time Now);
+  /// What the owner of this domain says of them; replaces what it said before.
+  void ownerDeparting(const std::vector<uint32_t> &Runs);
   RelayStats stats() const;
   Address callerAddress() const { return this->Front.address(); }
   FrontStats frontStats() const { return this->Front.stats(); }
@@ -160,6 +165,7 @@
   Relay *find(RunId Id);
   Relay *findCall(WireCallId Call);
   Service &service(ServiceId Id);
+  TargetEntry withDeparture(TargetEntry Target) const;
   bool admit(Relay &R);
   const FrontCustomer *authenticate(const Relay &R, std::string &Why) const;
   bool keysTrusted() const;
@@ -194,6 +200,8 @@
   std::unordered_map<WireCallId, RunId> ByCall;
   std::unordered_map<ServiceId, std::unique_ptr<Service>> Services;
   std::unordered_map<std::string, TargetEntry> Targets;
+  std::unordered_map<uint32_t, Time> Gone; ///< Runs, and since when.
+  std::set<uint32_t> OwnerDeparting;
   std::unordered_map<RouteId, Duration> LongestDeadline;
   uint64_t NextRun = 1;
   uint32_t Hosts = 1;
