--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -1,4 +1,5 @@
 // The platform's objects, decoded once into the scheduler's types.
+#include "encode_objects.h"
 #include "platform_objects.h"
 
 #include <CppUTest/TestHarness.h>
@@ -102,3 +103,54 @@
   STRCMP_EQUAL("10.1.0.2:7600", Back.At.text().c_str());
   CHECK_EQUAL(99, Back.Run);
 }
+
+// Stand-ins write what the adapter reads.
+TEST(PlatformObjects, whatStandinsWriteIsReadBack) {
+  RoutingConfig C;
+  C.Version = 7;
+  ServiceSpec S;
+  S.Name = "engine";
+  S.Id = serviceId(S.Name);
+  S.Engine = true;
+  S.EngineSlots = 4;
+  C.Services[S.Id] = S;
+  Route R;
+  R.Name = "r";
+  R.Host = "h";
+  R.PathPrefix = "/p/";
+  R.Kind = RouteKind::Stream;
+  R.Shares = {{S.Id, 1}};
+  R.Resumable = true;
+  R.MaxAttempts = 2;
+  R.Rank = 3;
+  C.Routes = {R};
+  FrontCustomer Customer;
+  Customer.Name = "c";
+  Customer.Id = customerId("c");
+  Customer.RatePerSecond = 5;
+  Customer.Burst = 9;
+  C.Customers[Customer.Id] = Customer;
+  C.CustomerByKey["k"] = Customer.Id;
+  std::shared_ptr<const RoutingConfig> Read =
+      platform::decodeConfig(platform::encodeConfig(C));
+  CHECK_EQUAL(7, Read->Version);
+  const Route *Found = Read->match("h", "/p/x");
+  CHECK(Found != nullptr && Found->repeatable());
+  CHECK_EQUAL(2, Found->MaxAttempts);
+  CHECK_EQUAL(3, Found->Rank);
+  CHECK(Found->Shares.at(0).Service == S.Id);
+  CHECK(Read->service(S.Id)->Engine);
+  CHECK(Read->CustomerByKey.at("k") == Customer.Id);
+  DOUBLES_EQUAL(9, Read->customer(Customer.Id)->Burst, 0);
+  TargetEntry T;
+  T.Instance = "t";
+  T.Service = S.Id;
+  T.At = Address{"127.0.0.1", 80};
+  T.Slots = 6;
+  T.Leaving = true;
+  T.BornMs = 12;
+  TargetEntry Back =
+      platform::decodeTarget("t", platform::encodeTarget(T, "engine"));
+  CHECK(Back.identity() == T.identity());
+  CHECK(Back.Service == S.Id && Back.Leaving && Back.Slots == 6);
+}
