--- a/tools/soak/shallot_soak.cpp
+++ b/tools/soak/shallot_soak.cpp
@@ -5,6 +5,7 @@
 #include "sockets_p.h"
 
 #include <CLI/CLI.hpp>
+#include <glog/logging.h>
 
 #include <csignal>
 #include <filesystem>
@@ -292,13 +293,17 @@
   App.add_flag("--quiet", Quiet, "Print the outcome only");
   CLI11_PARSE(App, Argc, Argv);
   signal(SIGPIPE, SIG_IGN);
+  google::InstallFailureSignalHandler();
   std::filesystem::create_directories(Init.Folder);
   std::cout << "seed " << Init.Seed << "\n";
   event_base *Base = event_base_new();
   size_t Broken = 0;
-  {
+  try {
     Soak Run(Base, Init, seconds(static_cast<int64_t>(Seconds)), Quiet);
     Broken = Run.run();
+  } catch (const std::exception &E) {
+    std::cerr << "soak: " << E.what() << "\n";
+    Broken = 1;
   }
   event_base_free(Base);
   return Broken == 0 ? 0 : ExitViolated;
--- a/tools/soak/soak_caller.cpp
+++ b/tools/soak/soak_caller.cpp
@@ -79,6 +79,10 @@
     sockaddr_in To = toSockaddr(this->Where.At);
     bufferevent_socket_connect(this->Socket, reinterpret_cast<sockaddr *>(&To),
                                sizeof(To));
+    if (this->Socket == nullptr) {
+      this->plan(); // Refused at once: the event came before the call ended.
+      return;
+    }
   }
   Sent &Request = this->Current.Request;
   Request.Host = this->Where.Host;
--- a/tools/soak/soak_world.cpp
+++ b/tools/soak/soak_world.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -34,6 +35,8 @@
 static constexpr double SmallRate = 20;
 static constexpr double SmallBurst = 10;
 static constexpr double QuotaTolerance = 20;
+// Descriptors that a new process may have inherited.
+static constexpr int MaxInherited = 1024;
 static const std::string Engine = "engine";
 static const std::string Plain = "plain";
 
@@ -197,6 +200,12 @@
     int Out = open(Log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
     dup2(Out, 1);
     dup2(Out, 2);
+    // Ports and connections of the soak stay with the soak, and no host
+    // outlives it.
+    for (int Fd = 3; Fd < MaxInherited; ++Fd) {
+      close(Fd);
+    }
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     execl(this->Init.Program.c_str(), this->Init.Program.c_str(), "--config",
           Settings.c_str(), static_cast<char *>(nullptr));
     _exit(127);
