--- a/tools/soak/soak_target.cpp
+++ b/tools/soak/soak_target.cpp
@@ -3,8 +3,10 @@
 #include "sockets_p.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace shallotlatch::soak {
 
@@ -112,7 +114,14 @@
   if (Lose) {
     evhttp_connection *Connection = evhttp_request_get_connection(Http);
     this->forget(R);
-    evhttp_connection_free(Connection);
+    if (Connection == nullptr) {
+      // Its caller left; evhttp has handed the request over.
+      evhttp_request_free(Http);
+    } else {
+      // evhttp frees the connection itself once it sees this end.
+      shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
+               SHUT_RDWR);
+    }
     return;
   }
   if (!R.Begun) {
