Scheduler: learn the time to the first event and the round trip to each domain

Cause: the prediction was built from constants that are figures of one kind of engine and link (20 ms, 55 tokens/ms, 40 ms to every other domain), so on other engines requests counted as on time that could no longer be, and targets in a near domain were passed over. Slowness was also compared with the prompt alone, so a busy or distant target looked slow.

Now FirstEventModel fits base time and time for a token of each service, and DomainLatency takes round trips from connection times.

--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -5,18 +5,9 @@
 
 namespace shallotlatch {
 
-// Expected time to the first event on an engine of slowness 1: a base time plus
-// the time for the prompt tokens. The values are published figures of
-// engines in use today; the observed slowness of each target corrects them.
-static constexpr double EngineBaseMs = 20;
-static constexpr double PromptTokensPerMs = 55;
-// Expected answer time of a target of slowness 1 that is no engine.
-static constexpr double ServiceBaseMs = 30;
-// Round-trip time to a target in another failure domain.
-static constexpr double RemoteDomainMs = 40;
 // Weight of a new observation in the moving average of a target's slowness.
 static constexpr double SlownessWeight = 0.2;
-static constexpr double MinSlowness = 0.3;
+static constexpr double MinSlowness = 0.2;
 static constexpr double MaxSlowness = 20;
 // Time constant with which the failure score of a target decays.
 static constexpr double FailureDecaySeconds = 3;
@@ -64,8 +55,8 @@
 
 ServiceScheduler::ServiceScheduler(bool Engine, std::string OwnDomain,
                                    uint64_t Seed)
-    : Engine(Engine), OwnDomain(std::move(OwnDomain)), Seed(Seed),
-      Random(Seed) {}
+    : Engine(Engine), OwnDomain(OwnDomain), FirstEvent(Engine),
+      Latency(std::move(OwnDomain)), Seed(Seed), Random(Seed) {}
 
 uint32_t instanceHash(const std::string &Instance) {
   return static_cast<uint32_t>(hash64(Instance));
@@ -110,12 +101,6 @@
   }
 }
 
-Duration ServiceScheduler::nominalFirstEvent(double PromptTokens) const {
-  double Ms = this->Engine ? EngineBaseMs + PromptTokens / PromptTokensPerMs
-                           : ServiceBaseMs;
-  return Duration(static_cast<int64_t>(Ms * 1000));
-}
-
 void ServiceScheduler::enqueue(const PlacementRequest &Request) {
   QueueKey Key{
       Request.Rank, !this->canMeetObjective(Request, Request.Arrived),
@@ -169,14 +154,10 @@
 
 ServiceScheduler::Choice
 ServiceScheduler::estimate(Target &T, const PlacementRequest &Request) const {
-  double Ms = T.Entry.Domain == this->OwnDomain ? 0 : RemoteDomainMs;
-  if (this->Engine) {
-    double Pending =
-        T.OwnPromptTokens + T.PeerPromptTokens + Request.PromptTokens;
-    Ms += (EngineBaseMs + Pending / PromptTokensPerMs) * T.Slowness;
-  } else {
-    Ms += ServiceBaseMs * T.Slowness;
-  }
+  double Pending =
+      T.OwnPromptTokens + T.PeerPromptTokens + Request.PromptTokens;
+  double Ms = this->Latency.roundTripMs(T.Entry.Domain) +
+              this->FirstEvent.predictMs(Pending) * T.Slowness;
   double Fill =
       static_cast<double>(T.OwnRunning + T.PeerRunning) / T.Entry.Slots;
   Choice C;
@@ -219,7 +200,8 @@
 
 bool ServiceScheduler::canMeetObjective(const PlacementRequest &Request,
                                         Time Now) const {
-  return Now + this->nominalFirstEvent(Request.PromptTokens) <=
+  double Ms = this->FirstEvent.predictMs(Request.PromptTokens);
+  return Now + Duration(static_cast<int64_t>(Ms * 1000)) <=
          Request.FirstAttempt + Request.Objective;
 }
 
@@ -324,7 +306,7 @@
   InFlightRequest R;
   R.Instance = T.Entry.Instance;
   R.PromptTokens = PromptTokens;
-  R.NominalFirstEvent = this->nominalFirstEvent(PromptTokens);
+  R.PendingTokens = T.OwnPromptTokens + T.PeerPromptTokens;
   R.Sent = Now;
   this->InFlight[Id] = R;
 }
@@ -352,9 +334,25 @@
   }
   Target &T = TargetIt->second;
   T.OwnPromptTokens = std::max(0.0, T.OwnPromptTokens - R.PromptTokens);
-  double Observed = toSeconds(Now - R.Sent) / toSeconds(R.NominalFirstEvent);
-  Observed = std::clamp(Observed, MinSlowness, MaxSlowness);
+  double ObservedMs = toSeconds(Now - R.Sent) * 1000 -
+                      this->Latency.roundTripMs(T.Entry.Domain);
+  double Observed =
+      std::clamp(ObservedMs / this->FirstEvent.predictMs(R.PendingTokens),
+                 MinSlowness, MaxSlowness);
   T.Slowness += SlownessWeight * (Observed - T.Slowness);
+  this->FirstEvent.observe(R.PendingTokens, ObservedMs);
+}
+
+void ServiceScheduler::connected(PlacementId Id, Duration Elapsed) {
+  auto It = this->InFlight.find(Id);
+  if (It == this->InFlight.end()) {
+    return;
+  }
+  auto TargetIt = this->Targets.find(It->second.Instance);
+  if (TargetIt != this->Targets.end()) {
+    this->Latency.observe(TargetIt->second.Entry.Domain,
+                          toSeconds(Elapsed) * 1000);
+  }
 }
 
 void ServiceScheduler::markSuspect(Target &T, Time Now) {
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -4,6 +4,7 @@
 /// input or output: it takes events, and gives placements and refusals.
 #pragma once
 
+#include "first_event_model_p.h"
 #include "routing_p.h"
 
 #include <map>
@@ -127,6 +128,9 @@
                            Time Now);
   /// Records that the first event of a placed request has arrived.
   void started(PlacementId Id, Time Now);
+  /// Records that a connection to the target of a placed request was
+  /// established in \p Elapsed.
+  void connected(PlacementId Id, Duration Elapsed);
   /// Records that a placed request no longer uses its target.
   void ended(PlacementId Id, AttemptResult Result, Time Now);
 
@@ -153,8 +157,8 @@
   struct InFlightRequest {
     std::string Instance;
     double PromptTokens = 0;
-    /// Expected time to the first event on a target of slowness 1.
-    Duration NominalFirstEvent{0};
+    /// Prompt tokens that the target had to read before the first event.
+    double PendingTokens = 0;
     Time Sent;            ///< Time at which the request was placed.
     bool Started = false; ///< The first event has arrived.
   };
@@ -210,8 +214,6 @@
   void occupy(Target &T, PlacementId Id, double PromptTokens, Time Now);
   /// Chooses a target for the request, at random among nearly equal ones.
   Choice choose(const PlacementRequest &Request, Time Now);
-  /// Expected time to the first event on a target of slowness 1.
-  Duration nominalFirstEvent(double PromptTokens) const;
   /// Rebuilds the index by hash and the peers' use of every target.
   void rebuildPeerUse();
   /// Adds a peer's use to the targets (\p Sign 1) or subtracts it (\p Sign -1).
@@ -240,6 +242,8 @@
 
   bool Engine;
   std::string OwnDomain;
+  FirstEventModel FirstEvent;
+  DomainLatency Latency;
   std::map<std::string, Target> Targets;
   std::map<QueueKey, PlacementRequest> Queue;
   std::unordered_map<PlacementId, QueueKey> QueueKeys;
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -52,6 +52,13 @@
   return false;
 }
 
+void RequestRelay::onConnected(OutboundCallId Call, Duration Elapsed) {
+  const RelayedRequest *R = this->findByCall(Call);
+  if (R != nullptr) {
+    this->service(R->Service).Places->scheduler().connected(R->Id, Elapsed);
+  }
+}
+
 ResponseHeadAction RequestRelay::onHead(OutboundCallId Call, HttpHead &Head) {
   RelayedRequest *R = this->findByCall(Call);
   if (R == nullptr) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -120,6 +120,7 @@
   void onCallerDisconnected(ExchangeId Exchange) override;
   void onCallerWritable(ExchangeId Exchange) override;
   // OutboundCallEvents
+  void onConnected(OutboundCallId Call, Duration Elapsed) override;
   bool onSending(OutboundCallId Call) override;
   ResponseHeadAction onHead(OutboundCallId Call, HttpHead &Head) override;
   void onBody(OutboundCallId Call, std::string_view Part) override;
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -55,6 +55,7 @@
   OutboundCallId Call;
   std::string Bytes;
   event *ConnectTimer = nullptr;
+  Time ConnectStartedAt;
   Time IdleSince;
   Duration KeepAliveTime = DefaultKeepAliveTime;
   bool Connected = false;
@@ -178,6 +179,8 @@
     if ((What & BEV_EVENT_CONNECTED) != 0) {
       C->Connected = true;
       event_del(C->ConnectTimer);
+      C->Owner.Events.onConnected(C->Call,
+                                  ProcessClock::now() - C->ConnectStartedAt);
       C->Owner.send(*C);
       return;
     }
@@ -257,6 +260,7 @@
       this->Base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(C->Socket, &Connection::onRead, nullptr,
                     &Connection::onEvent, C);
+  C->ConnectStartedAt = ProcessClock::now();
   C->ConnectTimer =
       event_new(this->Base, -1, 0, &Connection::onConnectTimeout, C);
   timeval Limit = toTimeval(Call.ConnectTimeout);
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -44,6 +44,8 @@
 class OutboundCallEvents {
 public:
   virtual ~OutboundCallEvents() = default;
+  /// A new connection for the call was established in the given time.
+  virtual void onConnected(OutboundCallId, Duration) {}
   /// Bytes of the request are about to be sent. If this returns false, nothing
   /// is sent and no event follows.
   virtual bool onSending(OutboundCallId Call) = 0;
