--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -25,6 +25,19 @@
   count @1 :UInt8;          # Number of crashes, 255 at most.
 }
 
+struct HostCounts {          # Counts of a host that another host passes on.
+  host @0 :UInt64;
+  run @1 :UInt64;            # Process run of the host.
+  whole @2 :Bool;            # The list of customers is complete.
+  customers @3 :List(CustomerUse);
+  crashes @4 :List(CrashTally);
+}
+
+struct CustomerLevel {
+  customer @0 :UInt32;
+  level @1 :Int64;           # Amount that the fleet may still admit.
+}
+
 struct FleetState {          # HostState: state of a host, sent to its peers.
   host @0 :UInt64;
   run @1 :UInt64;            # Process run of the sender.
@@ -43,6 +56,14 @@
   echoRun @10 :UInt64;       # Process run of the receiver that sent `echo`.
   departing @11 :List(UInt32); # Hashes of the runs of targets that the sender
                                # knows to be leaving or gone.
+  relayed @12 :List(HostCounts);   # From owners: the hosts of their domain.
+  levels @13 :List(CustomerLevel); # From owners to the hosts of their domain.
+  echoSequence @14 :UInt32;  # Sequence of the receiver's newest state that the
+                             # sender has read in the run `echoRun`.
+  heardHosts @15 :UInt32;    # Hosts of the fleet that the sender hears, itself
+                             # included.
+  servingHosts @16 :UInt32;  # These and the silent ones that may still serve.
+  limitsOnly @17 :Bool;      # `targets` is left out.
 }
 
 struct WaitingAsk {          # WaitingRequest: it waits for a target.
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(be399b80ff77515e);
 CAPNP_DECLARE_SCHEMA(f19c4276264bb8b5);
 CAPNP_DECLARE_SCHEMA(939e7c046620da98);
+CAPNP_DECLARE_SCHEMA(cba62472fd5ad631);
+CAPNP_DECLARE_SCHEMA(a88f292ad7d0cdf4);
 CAPNP_DECLARE_SCHEMA(fe2a0c10edca35cc);
 CAPNP_DECLARE_SCHEMA(ff2430dbef5ef505);
 CAPNP_DECLARE_SCHEMA(c14fe69cdf3d8cd6);
@@ -80,6 +82,36 @@
   };
 };
 
+struct HostCounts {
+  HostCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cba62472fd5ad631, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CustomerLevel {
+  CustomerLevel() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a88f292ad7d0cdf4, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetState {
   FleetState() = delete;
 
@@ -88,7 +120,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 9, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -470,6 +502,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class HostCounts::Reader {
+public:
+  typedef HostCounts Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost() const;
+
+  inline  ::uint64_t getRun() const;
+
+  inline bool getWhole() const;
+
+  inline bool hasCustomers() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader getCustomers() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostCounts::Builder {
+public:
+  typedef HostCounts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost();
+  inline void setHost( ::uint64_t value);
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
+  inline bool hasCustomers();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder getCustomers();
+  inline void setCustomers( ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder initCustomers(unsigned int size);
+  inline void adoptCustomers(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>> disownCustomers();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HostCounts::Pipeline {
+public:
+  typedef HostCounts Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CustomerLevel::Reader {
+public:
+  typedef CustomerLevel Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCustomer() const;
+
+  inline  ::int64_t getLevel() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CustomerLevel::Builder {
+public:
+  typedef CustomerLevel Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCustomer();
+  inline void setCustomer( ::uint32_t value);
+
+  inline  ::int64_t getLevel();
+  inline void setLevel( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CustomerLevel::Pipeline {
+public:
+  typedef CustomerLevel Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetState::Reader {
 public:
   typedef FleetState Reads;
@@ -515,6 +734,20 @@
   inline bool hasDeparting() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDeparting() const;
 
+  inline bool hasRelayed() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
+
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+
+  inline  ::uint32_t getEchoSequence() const;
+
+  inline  ::uint32_t getHeardHosts() const;
+
+  inline  ::uint32_t getServingHosts() const;
+
+  inline bool getLimitsOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -596,6 +829,32 @@
   inline void adoptDeparting(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDeparting();
 
+  inline bool hasRelayed();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Builder getRelayed();
+  inline void setRelayed( ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Builder initRelayed(unsigned int size);
+  inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>> disownRelayed();
+
+  inline bool hasLevels();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>> disownLevels();
+
+  inline  ::uint32_t getEchoSequence();
+  inline void setEchoSequence( ::uint32_t value);
+
+  inline  ::uint32_t getHeardHosts();
+  inline void setHeardHosts( ::uint32_t value);
+
+  inline  ::uint32_t getServingHosts();
+  inline void setServingHosts( ::uint32_t value);
+
+  inline bool getLimitsOnly();
+  inline void setLimitsOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1549,6 +1808,144 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HostCounts::Reader::getHost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostCounts::Builder::getHost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostCounts::Builder::setHost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HostCounts::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostCounts::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HostCounts::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostCounts::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostCounts::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void HostCounts::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostCounts::Reader::hasCustomers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostCounts::Builder::hasCustomers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader HostCounts::Reader::getCustomers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder HostCounts::Builder::getCustomers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostCounts::Builder::setCustomers( ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder HostCounts::Builder::initCustomers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostCounts::Builder::adoptCustomers(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>> HostCounts::Builder::disownCustomers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HostCounts::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostCounts::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Reader HostCounts::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Builder HostCounts::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HostCounts::Builder::setCrashes( ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>::Builder HostCounts::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HostCounts::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>> HostCounts::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CrashTally,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CustomerLevel::Reader::getCustomer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CustomerLevel::Builder::getCustomer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLevel::Builder::setCustomer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CustomerLevel::Reader::getLevel() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CustomerLevel::Builder::getLevel() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLevel::Builder::setLevel( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetState::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1801,6 +2198,130 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool FleetState::Reader::hasRelayed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetState::Builder::hasRelayed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Reader FleetState::Reader::getRelayed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::getRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FleetState::Builder::setRelayed( ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::initRelayed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FleetState::Builder::adoptRelayed(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>> FleetState::Builder::disownRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::HostCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool FleetState::Reader::hasLevels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetState::Builder::hasLevels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Reader FleetState::Reader::getLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::getLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FleetState::Builder::setLevels( ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::initLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FleetState::Builder::adoptLevels(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>> FleetState::Builder::disownLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::CustomerLevel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FleetState::Reader::getEchoSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetState::Builder::getEchoSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setEchoSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetState::Reader::getHeardHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetState::Builder::getHeardHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setHeardHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetState::Reader::getServingHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetState::Builder::getServingHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setServingHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetState::Reader::getLimitsOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetState::Builder::getLimitsOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setLimitsOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t WaitingAsk::Reader::getSerial() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -35,6 +35,9 @@
 // Backoff after the first failed call; it doubles up to MaxBackoff.
 static constexpr Duration InitialBackoff = millis(100);
 static constexpr Duration MaxBackoff = millis(800);
+// Time for which a follower waits for a configuration that a peer knows of. Its
+// own cheaper watch shows it within this time unless the store lags.
+static constexpr Duration MaxFollowerLag = millis(300);
 // Targets whose entries lapsed while the store was unreachable have renewed
 // them within two seconds of its return; until then the old entries are used.
 static constexpr Duration LapseGrace = millis(2200);
@@ -82,17 +85,22 @@
   Feed &F = this->feed(DirectoryKind::Config);
   if (F.Synced && ConfigRevision == F.Revision) {
     F.ConfirmedAt = std::max(F.ConfirmedAt, SentAt);
+  } else if (F.Synced && ConfigRevision > F.Revision &&
+             ConfigRevision > this->PeerRevision) {
+    this->PeerRevision = ConfigRevision;
+    this->PeerRevisionAt = this->Now;
   }
 }
 
-// The configuration has the tightest age limits. Peers are found by their
-// datagrams, so a stale list of hosts does no harm. The leader reads departures
-// of targets itself and passes them on to its followers; after an outage, every
-// host needs the newest list to see which targets have not come back.
+// Peers are found by their datagrams, so a stale list of hosts does no harm.
+// The leader reads configurations and departures of targets itself. It passes
+// the departures on to its followers, and the revision of the configuration
+// that the store confirmed: a follower whose stale read has not shown that
+// revision trusts no key and asks the store itself. After an outage, every host
+// needs the newest list to see which targets have not come back.
 ReadConsistency FleetDirectory::mode(DirectoryKind Kind) const {
   switch (Kind) {
   case DirectoryKind::Config:
-    return ReadConsistency::Linearizable;
   case DirectoryKind::Targets:
     return this->Leader || this->Now < this->LapseGraceEnd
                ? ReadConsistency::Linearizable
@@ -103,18 +111,27 @@
   return ReadConsistency::Linearizable;
 }
 
+// A follower's first list of the configuration must not be older than what its
+// leader knows already, since the list starts the revisions that it watches.
+ReadConsistency FleetDirectory::listMode(DirectoryKind Kind) const {
+  return Kind == DirectoryKind::Config ? ReadConsistency::Linearizable
+                                       : this->mode(Kind);
+}
+
 void FleetDirectory::setLeader(bool IsLeader, Time CurrentTime) {
   if (IsLeader == this->Leader) {
     return;
   }
   this->Leader = IsLeader;
   logImportantEvent("store-lead", {{"lead", IsLeader}});
-  Feed &F = this->feed(DirectoryKind::Targets);
-  if (IsLeader && F.Synced && !F.Listing) {
-    // The watch in flight may return stale objects, so its reply is dropped.
-    F.CallInFlight = false;
-    ++F.CallNumber;
-    F.NextCallAt = CurrentTime;
+  for (DirectoryKind Kind : {DirectoryKind::Config, DirectoryKind::Targets}) {
+    Feed &F = this->feed(Kind);
+    if (IsLeader && F.Synced && !F.Listing) {
+      // The watch in flight may return stale objects, so its reply is dropped.
+      F.CallInFlight = false;
+      ++F.CallNumber;
+      F.NextCallAt = CurrentTime;
+    }
   }
 }
 
@@ -127,7 +144,7 @@
     this->onReply(Kind, CallNumber, std::move(Reply));
   };
   if (F.Listing) {
-    this->Store.list(Kind, F.ListAfter, Done);
+    this->Store.list(Kind, F.ListAfter, this->listMode(Kind), Done);
   } else {
     this->Store.watch(Kind, F.WatchRevision, WatchWait, this->mode(Kind), Done);
   }
@@ -184,10 +201,12 @@
   Duration Jitter(static_cast<int64_t>(
       hashPair(this->Seed, F.ConfirmedAt.time_since_epoch().count()) %
       static_cast<uint64_t>(MaxConfirmJitter.count())));
-  if (!F.Synced || F.Listing || !this->Reachable ||
-      CurrentTime - F.ConfirmedAt <
-          MinConfirmAge + Jitter +
-              (this->Leader ? Duration(0) : FollowerConfirmDelay)) {
+  bool Behind = this->PeerRevision > F.Revision &&
+                CurrentTime - this->PeerRevisionAt > MaxFollowerLag + Jitter;
+  bool Old = CurrentTime - F.ConfirmedAt >=
+             MinConfirmAge + Jitter +
+                 (this->Leader ? Duration(0) : FollowerConfirmDelay);
+  if (!F.Synced || F.Listing || !this->Reachable || (!Behind && !Old)) {
     return;
   }
   F.Confirming = true;
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -59,7 +59,7 @@
   /// Lists objects in the order of their names, from the first name after
   /// \p After.
   virtual void list(DirectoryKind Kind, const std::string &After,
-                    Reply Done) = 0;
+                    ReadConsistency Mode, Reply Done) = 0;
   /// Replies with the changes after \p Revision, or without any after \p Wait.
   virtual void watch(DirectoryKind Kind, uint64_t Revision, Duration Wait,
                      ReadConsistency Mode, Reply Done) = 0;
@@ -153,6 +153,7 @@
   static size_t index(DirectoryKind Kind) { return static_cast<size_t>(Kind); }
   Feed &feed(DirectoryKind Kind) { return this->Feeds[index(Kind)]; }
   ReadConsistency mode(DirectoryKind Kind) const;
+  ReadConsistency listMode(DirectoryKind Kind) const;
   void call(DirectoryKind Kind, Time Now);
   void onReply(DirectoryKind Kind, uint32_t CallNumber, DirectoryReply &&Reply);
   void confirm(Time Now);
@@ -180,6 +181,10 @@
   Time Now;
   Time RegisterAt;
   Time UnreachableSince;
+  /// Newest configuration revision of which a peer knows, if it is newer than
+  /// the own one, and when this host learned of it.
+  uint64_t PeerRevision = 0;
+  Time PeerRevisionAt;
   Time LapseGraceEnd; ///< End of the time for lapsed targets to renew.
 };
 
--- a/src/first_event_model.cpp
+++ b/src/first_event_model.cpp
@@ -80,8 +80,8 @@
     this->MsPerToken =
         std::clamp(Covariance / Variance, MinMsPerToken, MaxMsPerToken);
   }
-  this->BaseMs = std::clamp(MeanMs - this->MsPerToken * MeanTokens, MinBaseMs,
-                            MaxBaseMs);
+  this->BaseMs =
+      std::clamp(MeanMs - this->MsPerToken * MeanTokens, MinBaseMs, MaxBaseMs);
 }
 
 double DomainLatency::roundTripMs(const std::string &Domain) const {
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -16,6 +16,8 @@
 static constexpr size_t MaxCustomers = 64;
 static constexpr size_t MaxCrashes = 16;
 static constexpr size_t MaxDeparting = 256;
+static constexpr size_t MaxRelayed = 256;
+static constexpr size_t MaxLevels = 1500;
 // Limits for the requests of one service on one host. A host of the usual size
 // holds some dozens.
 static constexpr size_t MaxWaiting = 200;
@@ -37,6 +39,22 @@
   return static_cast<unsigned>(std::min(Count, Max));
 }
 
+static void writeCustomers(capnp::List<fleetwire::CustomerUse>::Builder List,
+                           const std::vector<CustomerUse> &Customers) {
+  for (unsigned I = 0; I < List.size(); ++I) {
+    List[I].setCustomer(Customers[I].Customer.Value);
+    List[I].setAdmitted(Customers[I].Admitted);
+  }
+}
+
+static void writeCrashes(capnp::List<fleetwire::CrashTally>::Builder List,
+                         const std::vector<CrashTally> &Crashes) {
+  for (unsigned I = 0; I < List.size(); ++I) {
+    List[I].setFingerprint(Crashes[I].Print.Value);
+    List[I].setCount(static_cast<uint8_t>(std::min(Crashes[I].Count, 255U)));
+  }
+}
+
 bool echoIsOwn(const HostState &State, uint64_t OwnRun, Time Now) {
   return State.Echo != Time() && State.EchoRun == OwnRun && State.Echo <= Now;
 }
@@ -62,21 +80,34 @@
         static_cast<uint8_t>(std::min(S.Targets[I].Running, 255U)));
     TargetList[I].setPromptTokens(S.Targets[I].PromptTokens);
   }
-  unsigned Customers =
-      static_cast<unsigned>(std::min(S.Customers.size(), MaxCustomers));
-  auto CustomerList = B.initCustomers(Customers);
-  for (unsigned I = 0; I < Customers; ++I) {
-    CustomerList[I].setCustomer(S.Customers[I].Customer.Value);
-    CustomerList[I].setAdmitted(S.Customers[I].Admitted);
+  writeCustomers(B.initCustomers(wireCount(S.Customers.size(), MaxCustomers)),
+                 S.Customers);
+  writeCrashes(B.initCrashes(wireCount(S.Crashes.size(), MaxCrashes)),
+               S.Crashes);
+  unsigned Relayed = wireCount(S.Relayed.size(), MaxRelayed);
+  auto RelayedList = B.initRelayed(Relayed);
+  for (unsigned I = 0; I < Relayed; ++I) {
+    const HostCounts &Counts = S.Relayed[I];
+    fleetwire::HostCounts::Builder H = RelayedList[I];
+    H.setHost(Counts.Host.Value);
+    H.setRun(Counts.Run);
+    H.setWhole(Counts.Whole);
+    writeCustomers(
+        H.initCustomers(static_cast<unsigned>(Counts.Customers.size())),
+        Counts.Customers);
+    writeCrashes(H.initCrashes(wireCount(Counts.Crashes.size(), MaxCrashes)),
+                 Counts.Crashes);
   }
-  unsigned Crashes =
-      static_cast<unsigned>(std::min(S.Crashes.size(), MaxCrashes));
-  auto CrashList = B.initCrashes(Crashes);
-  for (unsigned I = 0; I < Crashes; ++I) {
-    CrashList[I].setFingerprint(S.Crashes[I].Print.Value);
-    CrashList[I].setCount(
-        static_cast<uint8_t>(std::min(S.Crashes[I].Count, 255U)));
+  unsigned Levels = wireCount(S.Levels.size(), MaxLevels);
+  auto LevelList = B.initLevels(Levels);
+  for (unsigned I = 0; I < Levels; ++I) {
+    LevelList[I].setCustomer(S.Levels[I].Customer.Value);
+    LevelList[I].setLevel(S.Levels[I].Level);
   }
+  B.setEchoSequence(S.EchoSequence);
+  B.setHeardHosts(S.HeardHosts);
+  B.setServingHosts(S.ServingHosts);
+  B.setLimitsOnly(S.LimitsOnly);
   unsigned Departing = wireCount(S.Departing.size(), MaxDeparting);
   auto DepartingList = B.initDeparting(Departing);
   for (unsigned I = 0; I < Departing; ++I) {
@@ -159,6 +190,24 @@
   return packMessage(Message);
 }
 
+static std::vector<CustomerUse>
+readCustomers(capnp::List<fleetwire::CustomerUse>::Reader List) {
+  std::vector<CustomerUse> Customers;
+  for (fleetwire::CustomerUse::Reader C : List) {
+    Customers.push_back({CustomerId{C.getCustomer()}, C.getAdmitted()});
+  }
+  return Customers;
+}
+
+static std::vector<CrashTally>
+readCrashes(capnp::List<fleetwire::CrashTally>::Reader List) {
+  std::vector<CrashTally> Crashes;
+  for (fleetwire::CrashTally::Reader C : List) {
+    Crashes.push_back({Fingerprint{C.getFingerprint()}, C.getCount()});
+  }
+  return Crashes;
+}
+
 static HostState readState(fleetwire::FleetState::Reader R) {
   HostState S;
   S.Host.Value = R.getHost();
@@ -172,12 +221,20 @@
   for (fleetwire::TargetUse::Reader T : R.getTargets()) {
     S.Targets.push_back({T.getTarget(), T.getRunning(), T.getPromptTokens()});
   }
-  for (fleetwire::CustomerUse::Reader C : R.getCustomers()) {
-    S.Customers.push_back({CustomerId{C.getCustomer()}, C.getAdmitted()});
+  S.Customers = readCustomers(R.getCustomers());
+  S.Crashes = readCrashes(R.getCrashes());
+  for (fleetwire::HostCounts::Reader H : R.getRelayed()) {
+    S.Relayed.push_back({HostId{H.getHost()}, H.getRun(), H.getWhole(),
+                         readCustomers(H.getCustomers()),
+                         readCrashes(H.getCrashes())});
   }
-  for (fleetwire::CrashTally::Reader C : R.getCrashes()) {
-    S.Crashes.push_back({Fingerprint{C.getFingerprint()}, C.getCount()});
+  for (fleetwire::CustomerLevel::Reader L : R.getLevels()) {
+    S.Levels.push_back({CustomerId{L.getCustomer()}, L.getLevel()});
   }
+  S.EchoSequence = R.getEchoSequence();
+  S.HeardHosts = R.getHeardHosts();
+  S.ServingHosts = R.getServingHosts();
+  S.LimitsOnly = R.getLimitsOnly();
   for (uint32_t Run : R.getDeparting()) {
     S.Departing.push_back(Run);
   }
--- a/src/fleet_codec_p.h
+++ b/src/fleet_codec_p.h
@@ -2,6 +2,7 @@
 /// Messages between gateway hosts, and their encoding as datagrams.
 #pragma once
 
+#include "count_relay_p.h"
 #include "crash_guard_p.h"
 #include "fleet_quota_p.h"
 #include "place_books_p.h"
@@ -34,6 +35,17 @@
   /// Hashes that name the runs of targets that the sender knows from the store
   /// to be leaving or gone.
   std::vector<uint32_t> Departing;
+  /// From an owner to other failure domains: counts of its domain's hosts.
+  std::vector<HostCounts> Relayed;
+  /// From an owner to the hosts of its failure domain.
+  std::vector<CustomerLevel> Levels;
+  /// Sequence of the receiver's newest state that the sender has read in the
+  /// run `EchoRun`.
+  uint32_t EchoSequence = 0;
+  uint32_t HeardHosts = 0; ///< Hosts that the sender hears, itself included.
+  /// `HeardHosts` and the silent hosts that may still serve.
+  uint32_t ServingHosts = 0;
+  bool LimitsOnly = false; ///< `Targets` is left out.
 };
 
 /// Returns whether the echo in \p State is a stamp that this host sent in the
--- /dev/null
+++ b/src/fleet_exchange_p.h
@@ -0,0 +1,86 @@
+/// \file
+/// Exchange of state with the other hosts of the fleet, on two levels: the
+/// hosts of a failure domain with its owner, and the owners with each other.
+/// Domains too small for an owner exchange with every owner themselves.
+#pragma once
+
+#include "count_relay_p.h"
+#include "directory_p.h"
+#include "fleet_link_p.h"
+#include "relay_p.h"
+
+#include <deque>
+
+namespace shallotlatch {
+
+/// Decides when this host's state is sent and to whom, which peers are alive,
+/// and which hosts own the failure domains. Applies what peers report.
+class FleetExchange : public FleetLinkEvents {
+public:
+  FleetExchange(event_base *Base, const FleetHost &Self, RequestRelay &Relay,
+                FleetDirectory &Directory);
+
+  FleetLink &link() { return this->Link; }
+  /// Checks the peers and sends what is due. \p Leaving: this host is stopping.
+  void tick(Time Now, bool Leaving);
+  /// Records that the store confirmed \p Revision of the configuration.
+  void onConfirmed(uint64_t Revision);
+
+  // Implementation of FleetLinkEvents.
+  void onState(const HostState &State) override;
+  void onBook(const PlacementReport &Book) override;
+  void onReply(const PlacementReply &Reply) override;
+
+private:
+  using PeerFilter = std::function<bool(const FleetPeer &)>;
+  bool ownsDomain() const { return this->Owner == this->SelfId; }
+  /// Whether another host is the owner of this host's failure domain.
+  bool followsOwner() const {
+    return this->Owner.isValid() && !this->ownsDomain();
+  }
+  /// Time of the last sign of life of a peer, heard directly or passed on.
+  Time lastHeard(const FleetPeer &Peer) const;
+  /// Builds this host's state, without what differs between receivers.
+  HostState makeState(Time Now, bool Leaving);
+  void sendStates(Time Now, bool Leaving);
+  void sendTo(HostState &State, const PeerFilter &Filter);
+  void evaluatePeers(Time Now, bool Leaving);
+  /// Sets the limits that depend on the number of hosts of the fleet.
+  void applyFleetSize(uint32_t Heard, uint32_t Serving);
+  void chooseOwners(Time Now, bool Leaving);
+  void removeSilentPeers(Time Now);
+  /// Merges the counts that another owner passed on.
+  void mergeRelayed(const HostState &State, Time Now);
+
+  FleetHost Self;
+  HostId SelfId;
+  RequestRelay &Relay;
+  FleetDirectory &Directory;
+  FleetLink Link;
+  CountRelay DomainCounts; ///< Counts of the hosts of the own domain.
+  RelayedHosts Relayed;    ///< Hosts of other domains.
+  /// Host that places requests for the own failure domain; invalid: none.
+  HostId Owner;
+  /// Failure domains in which some host is heard that places requests.
+  std::set<std::string> HeardDomains;
+  uint32_t Sequence = 0; ///< Sequence of the last state sent.
+  /// Configuration revision that the store itself confirmed last.
+  uint64_t ConfirmedRevision = 0;
+  uint32_t DomainPeers = 0;  ///< Peers in the own failure domain.
+  uint32_t RemotePeers = 0;  ///< All other peers.
+  std::set<HostId> Placing;  ///< Remote peers that place requests.
+  uint32_t PlacingPeers = 0; ///< Number of these.
+  uint32_t HeardHosts = 1;   ///< Hosts heard, this one included.
+  uint32_t ServingHosts = 1; ///< These and the silent ones that may serve.
+  Time LastLevels;           ///< Time of the owner's last levels taken over.
+  Time NextPeerCheck;
+  Time NextDomainSend;
+  Time NextOwnerSend;
+  Time NextMemberSend;
+  Time NextPlacingSend;
+  Time NextSearchSend;
+  Time NextRepeat;
+  std::string LastSentUse; ///< Content of the last state sent, to compare.
+};
+
+} // namespace shallotlatch
--- a/src/fleet_link.cpp
+++ b/src/fleet_link.cpp
@@ -58,11 +58,9 @@
   this->Peers.erase(hostId(Name));
 }
 
-void FleetLink::markPlacingPeers(const std::map<std::string, HostId> &Owners) {
+void FleetLink::markPlacingPeers(const std::set<HostId> &Placing) {
   for (auto &Item : this->Peers) {
-    auto It = Owners.find(Item.second.Host.Domain);
-    Item.second.PlacesRequests =
-        It == Owners.end() || !It->second.isValid() || It->second == Item.first;
+    Item.second.PlacesRequests = Placing.count(Item.first) != 0;
   }
 }
 
@@ -100,6 +98,7 @@
     if (Filter(Item.second)) {
       State.Echo = Item.second.Echo;
       State.EchoRun = Item.second.Run;
+      State.EchoSequence = Item.second.Sequence;
       this->sendTo(Item.second.Host.At, encodeHostState(State));
     }
   }
--- a/src/fleet_link_p.h
+++ b/src/fleet_link_p.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,9 +70,8 @@
   /// Adds or updates the peer; an entry for this host itself is ignored.
   void setPeer(const FleetHost &Host, Time Now);
   void removePeer(const std::string &Name);
-  /// Marks which peers place requests, given the owner of each failure domain:
-  /// a peer does so if it is the owner or if its domain has no known owner.
-  void markPlacingPeers(const std::map<std::string, HostId> &Owners);
+  /// Marks the peers that place requests themselves.
+  void markPlacingPeers(const std::set<HostId> &Placing);
   /// Called when the store is asked to confirm the configuration.
   void onConfirmationRequested();
   /// Called when the store has confirmed the configuration.
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -17,6 +17,9 @@
 // It suffices for the requests that arrive before the process has heard its
 // peers.
 static constexpr double InitialFillSeconds = 0.25;
+// Number of reports whose totals are kept. An owner that has not read any of
+// them is out of touch.
+static constexpr size_t MaxReports = 64;
 
 void FleetQuota::configure(const RoutingConfig &Config, Time Now) {
   for (const auto &Item : Config.Customers) {
@@ -121,12 +124,58 @@
     double More = First ? 0 : static_cast<double>(U.Admitted - Seen);
     Seen = U.Admitted;
     auto It = this->Buckets.find(U.Customer);
-    if (It != this->Buckets.end()) {
+    if (It != this->Buckets.end() && !this->FollowsOwner) {
       It->second.Level -= More;
     }
   }
 }
 
+std::vector<CustomerLevel> FleetQuota::levels(Time Now) {
+  std::vector<CustomerLevel> Levels;
+  for (auto &Item : this->Buckets) {
+    if (Item.second.Rate > 0) {
+      this->refill(Item.second, Now);
+      Levels.push_back({Item.first, static_cast<int64_t>(Item.second.Level)});
+    }
+  }
+  return Levels;
+}
+
+void FleetQuota::recordReport(uint32_t Sequence) {
+  Report R;
+  R.Sequence = Sequence;
+  for (const auto &Item : this->Buckets) {
+    R.Admitted[Item.first] = Item.second.OwnAdmitted;
+  }
+  this->Reports.push_back(std::move(R));
+  if (this->Reports.size() > MaxReports) {
+    this->Reports.pop_front();
+  }
+}
+
+bool FleetQuota::syncLevels(const std::vector<CustomerLevel> &Levels,
+                            uint32_t Sequence, Time Now) {
+  auto Known = std::find_if(
+      this->Reports.begin(), this->Reports.end(),
+      [Sequence](const Report &R) { return R.Sequence == Sequence; });
+  if (Known == this->Reports.end()) {
+    return false;
+  }
+  for (const CustomerLevel &L : Levels) {
+    auto It = this->Buckets.find(L.Customer);
+    if (It == this->Buckets.end()) {
+      continue;
+    }
+    Bucket &B = It->second;
+    auto Reported = Known->Admitted.find(L.Customer);
+    double Since = B.OwnAdmitted -
+                   (Reported == Known->Admitted.end() ? 0 : Reported->second);
+    B.Level = std::min(B.Burst, static_cast<double>(L.Level) - Since);
+    B.LastRefill = Now;
+  }
+  return true;
+}
+
 std::vector<CustomerUse> FleetQuota::ownUse() const {
   std::vector<CustomerUse> Uses;
   for (const auto &Item : this->Buckets) {
--- a/src/fleet_quota_p.h
+++ b/src/fleet_quota_p.h
@@ -7,6 +7,7 @@
 
 #include "routing_p.h"
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -18,6 +19,13 @@
   uint64_t Admitted = 0;
 };
 
+/// Amount that the whole fleet may still admit for a customer at a moment, as
+/// the owner of a failure domain tells its hosts; negative while in debt.
+struct CustomerLevel {
+  CustomerId Customer;
+  int64_t Level = 0;
+};
+
 /// Result of an admission check.
 struct QuotaDecision {
   bool Admitted = true;
@@ -55,6 +63,18 @@
   }
   /// Returns the totals that this host admitted, for its peers.
   std::vector<CustomerUse> ownUse() const;
+  /// Returns the levels of all customers that have a quota.
+  std::vector<CustomerLevel> levels(Time Now);
+  /// Records that this host reported its totals in the state \p Sequence.
+  void recordReport(uint32_t Sequence);
+  /// Takes over the levels of an owner that had read the state \p Sequence of
+  /// this host. What this host admitted since is deducted. Returns false, and
+  /// changes nothing, if that state is not among the last reports.
+  bool syncLevels(const std::vector<CustomerLevel> &Levels, uint32_t Sequence,
+                  Time Now);
+  /// Sets whether an owner's levels arrive in time. They include what peers
+  /// admitted, so peers' reports are not deducted here then.
+  void setFollowsOwner(bool Follows) { this->FollowsOwner = Follows; }
   /// Returns the amount that a request of \p Customer takes from its quota.
   static double requestAmount(const GatewayCustomer &Customer, bool HasTokens,
                               double Tokens);
@@ -71,11 +91,18 @@
     uint64_t Run = 0;
     std::unordered_map<CustomerId, uint64_t> Seen; ///< Highest totals reported.
   };
+  /// Totals that this host reported in one state.
+  struct Report {
+    uint32_t Sequence = 0;
+    std::unordered_map<CustomerId, double> Admitted;
+  };
   void refill(Bucket &B, Time Now) const;
 
   QuotaSlack Slack;
   std::unordered_map<CustomerId, Bucket> Buckets;
   std::map<HostId, PeerCount> Peers;
+  std::deque<Report> Reports; ///< The last reports, oldest first.
+  bool FollowsOwner = false;
   double RateShare = 1;
   bool Configured = false; ///< The quotas were configured before.
   bool SpareCapacity = true;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,9 +1,8 @@
 #include "shallotlatch/gateway.h"
 
 #include "directory_p.h"
-#include "domain_owner_p.h"
 #include "event_log_p.h"
-#include "fleet_link_p.h"
+#include "fleet_exchange_p.h"
 #include "http_server_p.h"
 #include "relay_p.h"
 #include "sockets_p.h"
@@ -21,36 +20,8 @@
 
 namespace shallotlatch {
 
-// Interval at which timeouts are checked and this host's state is sent to the
-// peers of its own failure domain.
+// Interval at which timeouts are checked.
 static constexpr Duration TickInterval = millis(20);
-// Interval at which this host's state is sent to peers in other failure
-// domains. It is longer because traffic between domains is charged.
-static constexpr Duration RemoteSendInterval = millis(120);
-// Numbers of peers up to which the send intervals hold. With more peers the
-// intervals grow in proportion, so that the number of datagrams that a host
-// sends per second stays bounded.
-static constexpr uint32_t DomainPeersPerInterval = 4;
-static constexpr uint32_t RemotePeersPerInterval = 8;
-// Send interval within a failure domain that has an owner. Its hosts need only
-// each other's counters.
-static constexpr Duration OwnedDomainSendInterval = millis(60);
-// Interval at which an unchanged state is sent again.
-static constexpr Duration StateRepeatInterval = millis(400);
-// Interval at which peers are checked for silence.
-static constexpr Duration PeerCheckInterval = millis(200);
-// Time without a message after which a peer is considered unavailable.
-static constexpr Duration PeerTimeout = millis(1200);
-// Time for which a silent peer may still serve requests while it is cut off
-// from this host. After that time its copy of the callers' keys is no longer
-// trusted.
-static constexpr Duration SilentPeerServingTime = seconds(10);
-// Time without a message after which a host is no candidate for the owner of
-// its failure domain. Remote hosts are sent to in turns, so the time is longer
-// than one round in the largest fleet that was run.
-static constexpr Duration OwnerTimeout = millis(1200);
-// Time of silence after which a peer's entry is removed from the store.
-static constexpr Duration PeerRemovalDelay = seconds(20);
 // Interval at which the settings file is checked for changes.
 static constexpr Duration SettingsCheckInterval = seconds(2);
 // Time after a request to stop during which the load balancer may still open
@@ -80,7 +51,7 @@
          static_cast<uint64_t>(Now.tv_nsec / 1000000);
 }
 
-struct Gateway::Parts : public DirectoryEvents, public FleetLinkEvents {
+struct Gateway::Parts : public DirectoryEvents {
   GatewaySettings Host;
   std::string SettingsPath;
   std::string SettingsText;
@@ -89,29 +60,16 @@
   std::unique_ptr<DirectoryStore> Store;
   std::unique_ptr<FleetDirectory> Directory;
   std::unique_ptr<RequestRelay> Relay;
-  std::unique_ptr<FleetLink> Link;
+  std::unique_ptr<FleetExchange> Exchange;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> LoopEvents;
-  uint32_t Sequence = 0;
-  /// Configuration revision that the store itself confirmed last.
-  uint64_t ConfirmedRevision = 0;
-  Time NextDomainSend;
-  Time NextRemoteSend;
-  Time NextPlacingPeerSend;
-  Time NextPeerCheck;
-  /// Host that places requests for this host's failure domain; invalid: none.
-  HostId Owner;
-  uint32_t DomainPeers = 0; ///< Number of peers in this host's failure domain.
-  uint32_t RemotePeers = 0; ///< Number of all other peers.
-  Time NextStateRepeat;
   Time NextSettingsCheck;
   Time StopDeadline;
   Time StopRequestedAt;
   bool Stopping = false;
   bool LoggedReady = false;
   bool KeysTrusted = true;
-  std::string LastSentUse;
 
   Parts(const GatewaySettings &Host, const std::string &SettingsPath,
         const RelayHeaders &Headers, const DirectoryStoreFactory &MakeStore)
@@ -147,9 +105,9 @@
     RelayOptions.Slack.Window = Host.QuotaWindow;
     this->Relay = std::make_unique<RequestRelay>(
         this->Base, FrontendOptions, RelayOptions, *this->Directory);
-    this->Link = std::make_unique<FleetLink>(
-        this->Base, this->Self, static_cast<FleetLinkEvents &>(*this));
-    this->Relay->setPlacementChannel(*this->Link);
+    this->Exchange = std::make_unique<FleetExchange>(
+        this->Base, this->Self, *this->Relay, *this->Directory);
+    this->Relay->setPlacementChannel(this->Exchange->link());
     HttpServerInit Ready;
     Ready.ListenAddress = Host.Ready;
     this->ReadyServer = std::make_unique<HttpServer>(
@@ -193,7 +151,7 @@
     }
     this->ReadyServer.reset();
     this->MetricsServer.reset();
-    this->Link.reset();
+    this->Exchange.reset();
     this->Relay.reset();
     this->Store.reset();
   }
@@ -234,8 +192,9 @@
                static_cast<double>(TargetClient.Opened));
     M.setGauge("target_connections_reused",
                static_cast<double>(TargetClient.Reused));
-    FleetLinkStats Peers = this->Link->stats();
-    M.setGauge("peers", static_cast<double>(this->Link->peers().size()));
+    FleetLinkStats Peers = this->Exchange->link().stats();
+    M.setGauge("peers",
+               static_cast<double>(this->Exchange->link().peers().size()));
     M.setGauge("peer_bytes_sent", static_cast<double>(Peers.BytesSent));
     LogStats Log = logStats();
     M.setGauge("log_lines", static_cast<double>(Log.Written));
@@ -303,173 +262,11 @@
     }
   }
 
-  // Implementation of FleetLinkEvents.
-  void onBook(const PlacementReport &Book) override {
-    this->Relay->receive(Book);
-  }
-  void onReply(const PlacementReply &Reply) override {
-    this->Relay->receive(Reply);
-  }
-  void onState(const HostState &State) override {
-    this->Relay->peerUse(State.Host, State.Targets);
-    if (State.Host == this->Owner) {
-      this->Relay->setOwnerDepartingTargets(State.Departing);
-    }
-    this->Relay->quota().mergePeerUse(State.Host, State.Run, State.Customers);
-    this->Relay->crashes().mergePeerCounts(State.Host, State.Crashes,
-                                           ProcessClock::now());
-    if (echoIsOwn(State, this->Self.Run, bootTime())) {
-      this->Directory->onPeerConfirmation(State.ConfigRevision, State.Echo);
-    }
-  }
-
-  // Sends this host's state to the peers whose send interval has elapsed.
-  void sendState(Time Now) {
-    if (Now < this->NextDomainSend && Now < this->NextRemoteSend &&
-        Now < this->NextStateRepeat && Now < this->NextPlacingPeerSend) {
-      return;
-    }
-    HostState State;
-    State.Host = hostId(this->Self.Name);
-    State.Run = this->Self.Run;
-    State.Leaving = this->Stopping;
-    State.ConfigRevision = this->ConfirmedRevision;
-    State.Targets = this->Relay->ownUse();
-    State.Customers = this->Relay->quota().ownUse();
-    State.Crashes = this->Relay->crashes().localTallies(Now);
-    State.Departing = this->Relay->departingTargets(Now);
-    std::string Use;
-    for (const TargetUse &U : State.Targets) {
-      Use += std::to_string(U.Target) + ":" + std::to_string(U.Running) + ":" +
-             std::to_string(U.PromptTokens) + " ";
-    }
-    for (const CustomerUse &U : State.Customers) {
-      Use += std::to_string(U.Admitted) + " ";
-    }
-    for (uint32_t Run : State.Departing) {
-      Use += "-" + std::to_string(Run);
-    }
-    bool RepeatDue = Now >= this->NextStateRepeat;
-    bool Changed = Use != this->LastSentUse;
-    if ((Changed && Now >= this->NextDomainSend) || RepeatDue) {
-      this->LastSentUse = Use;
-      State.Sequence = ++this->Sequence;
-      this->Link->send(State, [](const FleetPeer &P) { return P.SameDomain; });
-      Duration Interval =
-          this->Owner.isValid() ? OwnedDomainSendInterval : TickInterval;
-      this->NextDomainSend =
-          Now + Interval * (this->DomainPeers / DomainPeersPerInterval);
-    }
-    // Departing targets are sent to hosts of the own failure domain only.
-    State.Departing.clear();
-    if (Now >= this->NextRemoteSend) {
-      State.Sequence = ++this->Sequence;
-      this->Link->send(State, [](const FleetPeer &P) { return !P.SameDomain; });
-      this->NextRemoteSend =
-          Now + RemoteSendInterval *
-                    std::max(1U, this->RemotePeers / RemotePeersPerInterval);
-      this->NextPlacingPeerSend = Now + RemoteSendInterval;
-    }
-    // Owners place requests on each other's targets, so they receive each
-    // other's state more often than other remote hosts do.
-    if (this->Owner == hostId(this->Self.Name) &&
-        Now >= this->NextPlacingPeerSend) {
-      State.Sequence = ++this->Sequence;
-      this->Link->send(State, [](const FleetPeer &P) {
-        return !P.SameDomain && P.PlacesRequests;
-      });
-      this->NextPlacingPeerSend = Now + RemoteSendInterval;
-    }
-    if (RepeatDue) {
-      this->NextStateRepeat = Now + StateRepeatInterval;
-    }
-  }
-
-  // Checks which peers are available and derives this host's share of each
-  // customer's rate. Chooses the owners and removes peers that have been silent
-  // for `PeerRemovalDelay`. A silent peer may still serve requests, so its
-  // share of the rate is left to it until it must have stopped.
-  void evaluatePeers(Time Now) {
-    uint32_t ServingHosts = 1;
-    uint32_t HeardHosts = 1;
-    this->DomainPeers = 0;
-    this->RemotePeers = 0;
-    std::vector<std::string> RemovedPeers;
-    for (const auto &Item : this->Link->peers()) {
-      const FleetPeer &P = Item.second;
-      this->DomainPeers += P.SameDomain ? 1 : 0;
-      this->RemotePeers += P.SameDomain ? 0 : 1;
-      Duration SilentFor = Now - std::max(P.LastHeard, P.AddedAt);
-      if (Now - P.LastHeard < PeerTimeout) {
-        ++ServingHosts;
-        ++HeardHosts;
-      } else {
-        this->Relay->forgetPeer(P.Id);
-        ServingHosts += SilentFor < SilentPeerServingTime ? 1 : 0;
-        if (SilentFor > PeerRemovalDelay) {
-          RemovedPeers.push_back(P.Host.Name);
-        }
-      }
-    }
-    double Share = HeardHosts == 1
-                       ? 1.0 / ServingHosts
-                       : static_cast<double>(HeardHosts) / ServingHosts;
-    this->Relay->setRemoteHosts(this->chooseOwners(Now));
-    this->Directory->setPeerCount(HeardHosts - 1);
-    this->Relay->quota().setRateShare(Share);
-    this->Relay->setHosts(ServingHosts);
-    for (const std::string &Name : RemovedPeers) {
-      this->Link->removePeer(Name);
-      this->Directory->removeHost(Name);
-    }
-  }
-
-  // Chooses the owner of each failure domain among the hosts that sent a
-  // message within `OwnerTimeout`. Returns the number of hosts in other domains
-  // that place requests.
-  uint32_t chooseOwners(Time Now) {
-    std::map<std::string, std::vector<OwnerCandidate>> Domains;
-    if (!this->Stopping) {
-      Domains[this->Self.Domain].push_back(
-          {hostId(this->Self.Name), this->Self.Cores});
-    }
-    for (const auto &Item : this->Link->peers()) {
-      const FleetPeer &P = Item.second;
-      if (Now - P.LastHeard < OwnerTimeout && !P.Leaving) {
-        Domains[P.Host.Domain].push_back({P.Id, P.Host.Cores});
-      }
-    }
-    uint32_t RemotePlacingHosts = 0;
-    std::map<std::string, HostId> Owners;
-    for (const auto &Item : Domains) {
-      HostId Chosen = chooseOwner(Item.second);
-      Owners[Item.first] = Chosen;
-      if (Item.first != this->Self.Domain) {
-        RemotePlacingHosts +=
-            Chosen.isValid() ? 1 : static_cast<uint32_t>(Item.second.size());
-      }
-    }
-    this->Link->markPlacingPeers(Owners);
-    this->Owner = Owners[this->Self.Domain];
-    bool IsOwner = this->Owner == hostId(this->Self.Name);
-    this->Relay->setOwner(IsOwner ? HostId() : this->Owner);
-    bool OwnedByPeer = this->Owner.isValid() && !IsOwner;
-    if (!OwnedByPeer) {
-      this->Relay->setOwnerDepartingTargets({});
-    }
-    this->Directory->setLeader(!OwnedByPeer, bootTime());
-    return RemotePlacingHosts;
-  }
-
   void tick() {
     Time Now = ProcessClock::now();
     this->Directory->tick(bootTime());
     this->Relay->tick();
-    if (Now >= this->NextPeerCheck) {
-      this->NextPeerCheck = Now + PeerCheckInterval;
-      this->evaluatePeers(Now);
-    }
-    this->sendState(Now);
+    this->Exchange->tick(Now, this->Stopping);
     bool Trusted = this->Directory->age(DirectoryKind::Config, bootTime()) <
                    this->Host.RevocationLimit / 2;
     if (Trusted != this->KeysTrusted) {
@@ -513,16 +310,17 @@
   }
   void onHost(const FleetHost &Peer) override {
     logImportantEvent("peer", {{"name", Peer.Name}, {"at", Peer.At.text()}});
-    this->Link->setPeer(Peer, ProcessClock::now());
+    this->Exchange->link().setPeer(Peer, ProcessClock::now());
   }
   void onHostGone(const std::string &Name) override {
     logImportantEvent("peer-gone", {{"name", Name}});
-    this->Link->removePeer(Name);
+    this->Exchange->link().removePeer(Name);
+  }
+  void onConfirmStarted() override {
+    this->Exchange->link().onConfirmationRequested();
   }
-  void onConfirmStarted() override { this->Link->onConfirmationRequested(); }
   void onConfirmed(uint64_t ConfigRevision) override {
-    this->ConfirmedRevision = ConfigRevision;
-    this->Link->onConfirmationReceived();
+    this->Exchange->onConfirmed(ConfigRevision);
   }
   void onStoreReachable(bool Reachable) override {
     logImportantEvent(Reachable ? "store-regained" : "store-lost",
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -141,7 +141,8 @@
   return T;
 }
 
-void FixedStore::list(DirectoryKind Kind, const std::string &, Reply Done) {
+void FixedStore::list(DirectoryKind Kind, const std::string &, ReadConsistency,
+                      Reply Done) {
   DirectoryReply R;
   R.Result = DirectoryReply::Status::Ok;
   R.StoreRevision = 5;
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -60,7 +60,8 @@
 class FixedStore : public DirectoryStore {
 public:
   std::shared_ptr<const RoutingConfig> Config;
-  void list(DirectoryKind Kind, const std::string &After, Reply Done) override;
+  void list(DirectoryKind Kind, const std::string &After, ReadConsistency Mode,
+            Reply Done) override;
   void watch(DirectoryKind, uint64_t, Duration, ReadConsistency,
              Reply) override {}
   void registerHost(const FleetHost &, Reply) override {}
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -21,7 +21,8 @@
     ReadConsistency Mode = ReadConsistency::Linearizable;
   };
   std::deque<Call> Calls;
-  void list(DirectoryKind Kind, const std::string &, Reply Done) override {
+  void list(DirectoryKind Kind, const std::string &, ReadConsistency,
+            Reply Done) override {
     this->Calls.push_back({'l', Kind, 0, Duration(0), std::move(Done)});
   }
   void watch(DirectoryKind Kind, uint64_t Revision, Duration Wait,
--- a/tests/test_first_event_model.cpp
+++ b/tests/test_first_event_model.cpp
@@ -13,7 +13,7 @@
 
   /// Feeds requests of mixed length that take \p BaseMs and \p MsPerToken, with
   /// noise of a fifth.
-  void feed(FirstEventModel &Model, double BaseMs, double MsPerToken,
+  void feed(FirstEventModel & Model, double BaseMs, double MsPerToken,
             int Count) {
     std::lognormal_distribution<double> Tokens(7, 1);
     std::uniform_real_distribution<double> Noise(0.8, 1.2);
