Fleet: find the owners of other domains at once, confirm for followers

And a follower's configuration was older than its limit before its leader's confirmation reached it, so each asked the store itself about every nine seconds.

Now the hosts with the strongest claim are sent to as often as an owner, the others in turns with the limits only; domains too small for an owner are sent to whole. An owner confirms every 0.7 s for its followers.

--- a/src/count_relay.cpp
+++ b/src/count_relay.cpp
@@ -33,9 +33,8 @@
     }
   }
   R.Crashes.assign(Crashes.begin(),
-                   Crashes.begin() +
-                       static_cast<std::ptrdiff_t>(
-                           std::min(Crashes.size(), MaxCrashesPerHost)));
+                   Crashes.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                         Crashes.size(), MaxCrashesPerHost)));
 }
 
 HostCounts CountRelay::take(HostId Host, ReportedHost &Reported, size_t &Room) {
@@ -70,7 +69,8 @@
     }
     ++Index;
     if ((Index + this->Messages) % MessagesPerRound == 0) {
-      It->second.WholeSendsLeft = std::max<uint8_t>(It->second.WholeSendsLeft, 1);
+      It->second.WholeSendsLeft =
+          std::max<uint8_t>(It->second.WholeSendsLeft, 1);
     }
     Entries.push_back(CountRelay::take(It->first, It->second, Room));
     ++It;
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -29,6 +29,10 @@
 // it.
 static constexpr Duration MinConfirmAge = millis(1100);
 static constexpr Duration MaxConfirmJitter = millis(600);
+// The same age for a leader that confirms for the followers of its domain.
+// Their ages are larger by the intervals of the messages to the leader and
+// back.
+static constexpr Duration LeaderConfirmAge = millis(700);
 // Additional age for a host that receives confirmations from the leader of its
 // domain: it asks the store only when the leader has failed to.
 static constexpr Duration FollowerConfirmDelay = millis(700);
@@ -118,7 +122,9 @@
                                        : this->mode(Kind);
 }
 
-void FleetDirectory::setLeader(bool IsLeader, Time CurrentTime) {
+void FleetDirectory::setLeader(bool IsLeader, bool Followers,
+                               Time CurrentTime) {
+  this->HasFollowers = Followers;
   if (IsLeader == this->Leader) {
     return;
   }
@@ -203,9 +209,12 @@
       static_cast<uint64_t>(MaxConfirmJitter.count())));
   bool Behind = this->PeerRevision > F.Revision &&
                 CurrentTime - this->PeerRevisionAt > MaxFollowerLag + Jitter;
-  bool Old = CurrentTime - F.ConfirmedAt >=
-             MinConfirmAge + Jitter +
-                 (this->Leader ? Duration(0) : FollowerConfirmDelay);
+  Duration Limit =
+      this->HasFollowers
+          ? LeaderConfirmAge
+          : MinConfirmAge + Jitter +
+                (this->Leader ? Duration(0) : FollowerConfirmDelay);
+  bool Old = CurrentTime - F.ConfirmedAt >= Limit;
   if (!F.Synced || F.Listing || !this->Reachable || (!Behind && !Old)) {
     return;
   }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -106,7 +106,8 @@
   void setPeerCount(uint32_t PeerCount) { this->PeerCount = PeerCount; }
   /// Sets whether this host reads urgent changes from the store itself. If not,
   /// another host of its failure domain does so and passes them on.
-  void setLeader(bool IsLeader, Time Now);
+  /// \p HasFollowers: this host does so for others.
+  void setLeader(bool IsLeader, bool HasFollowers, Time Now);
   /// Removes the entry of a peer that is taken for gone.
   void removeHost(const std::string &Name);
 
@@ -171,7 +172,8 @@
   DirectoryEvents &Events;
   uint64_t Seed;
   uint32_t PeerCount = 0;
-  bool Leader = true; ///< Reads urgent changes from the store itself.
+  bool HasFollowers = false; ///< Passes urgent changes on to other hosts.
+  bool Leader = true;        ///< Reads urgent changes from the store itself.
   Feed Feeds[DirectoryKinds];
   FleetHost Self;
   std::shared_ptr<const RoutingConfig> Config;
--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -20,8 +20,12 @@
 // Interval at which hosts that place requests exchange their states between
 // failure domains.
 static constexpr Duration PlacingSendInterval = millis(120);
-// Interval at which hosts of a domain are sent to in which none is heard.
+// Interval at which remote hosts are sent to that are not known to place
+// requests, so that none stays unknown after a lost message.
 static constexpr Duration SearchInterval = millis(120);
+// Number of hosts of a domain in which none is heard that are sent to as often
+// as an owner: those that have the strongest claim to be it.
+static constexpr size_t LikelyOwners = 3;
 // Numbers of peers up to which the intervals hold. With more peers they grow in
 // proportion, so that the datagrams that a host sends per second are bounded.
 static constexpr uint32_t DomainPeersPerInterval = 4;
@@ -36,6 +40,8 @@
 static constexpr int MissedIntervals = 3;
 // Age of an owner's levels after which this host keeps the limits by itself.
 static constexpr Duration LevelsTimeout = millis(600);
+// Shortest interval between log lines about the size of the fleet.
+static constexpr Duration SizeLogInterval = seconds(1);
 // Time for which a silent peer may still serve requests while it is cut off
 // from this host. After that time its copy of the callers' keys is no longer
 // trusted.
@@ -173,12 +179,12 @@
   std::string Use = describeUse(State);
   bool Changed = Use != this->LastSentUse;
   bool RepeatDue = Now >= this->NextRepeat;
-  if (RepeatDue || (Changed && !this->Owner.isValid() &&
-                    Now >= this->NextDomainSend)) {
+  if (RepeatDue ||
+      (Changed && !this->Owner.isValid() && Now >= this->NextDomainSend)) {
     this->LastSentUse = Use;
     this->sendTo(State, [](const FleetPeer &P) { return P.SameDomain; });
-    this->NextDomainSend = Now + DomainSendInterval * (this->DomainPeers /
-                                                       DomainPeersPerInterval);
+    this->NextDomainSend =
+        Now + DomainSendInterval * (this->DomainPeers / DomainPeersPerInterval);
     this->NextRepeat = Now + RepeatInterval;
   } else if (Changed && this->followsOwner() && Now >= this->NextOwnerSend) {
     this->LastSentUse = Use;
@@ -205,8 +211,7 @@
       State.Relayed = this->DomainCounts.collect(Now, MinPeerTimeout);
     }
     this->sendTo(State, [this](const FleetPeer &P) {
-      return !P.SameDomain && P.PlacesRequests &&
-             this->HeardDomains.count(P.Host.Domain) != 0;
+      return !P.SameDomain && P.PlacesRequests;
     });
   }
   if (Now >= this->NextSearchSend) {
@@ -214,8 +219,10 @@
         Now + SearchInterval *
                   std::max(1U, this->RemotePeers / RemotePeersPerInterval);
     State.Relayed.clear();
-    this->sendTo(State, [this](const FleetPeer &P) {
-      return !P.SameDomain && this->HeardDomains.count(P.Host.Domain) == 0;
+    State.Targets.clear();
+    State.LimitsOnly = true;
+    this->sendTo(State, [](const FleetPeer &P) {
+      return !P.SameDomain && !P.PlacesRequests;
     });
   }
 }
@@ -263,24 +270,35 @@
 void FleetExchange::applyFleetSize(uint32_t Heard, uint32_t Serving) {
   this->HeardHosts = std::max(1U, Heard);
   this->ServingHosts = std::max(this->HeardHosts, Serving);
-  double Share = this->HeardHosts == 1
-                     ? 1.0 / this->ServingHosts
-                     : static_cast<double>(this->HeardHosts) /
-                           this->ServingHosts;
+  Time Now = ProcessClock::now();
+  std::pair<uint32_t, uint32_t> Size{this->HeardHosts, this->ServingHosts};
+  if (Size != this->LoggedSize && Now - this->SizeLoggedAt >= SizeLogInterval) {
+    this->LoggedSize = Size;
+    this->SizeLoggedAt = Now;
+    logImportantEvent("fleet", {{"heard", this->HeardHosts},
+                                {"serving", this->ServingHosts},
+                                {"owner", toHex(this->Owner.Value)},
+                                {"placing-peers", this->PlacingPeers}});
+  }
+  double Share = this->HeardHosts == 1 ? 1.0 / this->ServingHosts
+                                       : static_cast<double>(this->HeardHosts) /
+                                             this->ServingHosts;
   this->Directory.setPeerCount(this->HeardHosts - 1);
   this->Relay.quota().setRateShare(Share);
   this->Relay.setHosts(this->ServingHosts);
 }
 
 // The owner of the own domain follows from the hosts heard there. Of another
-// domain, only hosts that place requests send anything.
+// domain, only hosts that place requests send anything. In a domain too small
+// for an owner, all hosts do.
 void FleetExchange::chooseOwners(Time Now, bool Leaving) {
   std::vector<OwnerCandidate> Candidates;
   if (!Leaving) {
     Candidates.push_back({this->SelfId, this->Self.Cores});
   }
   Duration RemoteTimeout = peerTimeout(placingInterval(this->PlacingPeers));
-  this->HeardDomains.clear();
+  std::map<std::string, std::vector<OwnerCandidate>> RemoteDomains;
+  std::set<std::string> HeardDomains;
   this->PlacingPeers = 0;
   std::set<HostId> Placing;
   for (const auto &Item : this->Link.peers()) {
@@ -289,12 +307,26 @@
       if (Now - P.LastHeard < MinPeerTimeout && !P.Leaving) {
         Candidates.push_back({P.Id, P.Host.Cores});
       }
-    } else if (Now - P.LastHeard < RemoteTimeout) {
+      continue;
+    }
+    RemoteDomains[P.Host.Domain].push_back({P.Id, P.Host.Cores});
+    if (Now - P.LastHeard < RemoteTimeout) {
       ++this->PlacingPeers;
-      this->HeardDomains.insert(P.Host.Domain);
+      HeardDomains.insert(P.Host.Domain);
       Placing.insert(P.Id);
     }
   }
+  for (auto &Item : RemoteDomains) {
+    size_t Count = Item.second.size();
+    if (hasOwner(Count)) {
+      bool Heard = HeardDomains.count(Item.first) != 0;
+      Count = Heard ? 0 : std::min(LikelyOwners, Count);
+    }
+    rankCandidates(Item.second);
+    for (size_t I = 0; I < Count; ++I) {
+      Placing.insert(Item.second[I].Host);
+    }
+  }
   if (!std::includes(this->Placing.begin(), this->Placing.end(),
                      Placing.begin(), Placing.end())) {
     this->DomainCounts.restart();
@@ -308,7 +340,7 @@
   if (!Follows) {
     this->Relay.setOwnerDepartingTargets({});
   }
-  this->Directory.setLeader(!Follows, bootTime());
+  this->Directory.setLeader(!Follows, this->ownsDomain(), bootTime());
 }
 
 // Only hosts of the same domain remove an entry, and of these only the owner,
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -61,18 +61,20 @@
   RelayedHosts Relayed;    ///< Hosts of other domains.
   /// Host that places requests for the own failure domain; invalid: none.
   HostId Owner;
-  /// Failure domains in which some host is heard that places requests.
-  std::set<std::string> HeardDomains;
   uint32_t Sequence = 0; ///< Sequence of the last state sent.
   /// Configuration revision that the store itself confirmed last.
   uint64_t ConfirmedRevision = 0;
-  uint32_t DomainPeers = 0;  ///< Peers in the own failure domain.
-  uint32_t RemotePeers = 0;  ///< All other peers.
-  std::set<HostId> Placing;  ///< Remote peers that place requests.
-  uint32_t PlacingPeers = 0; ///< Number of these.
+  uint32_t DomainPeers = 0; ///< Peers in the own failure domain.
+  uint32_t RemotePeers = 0; ///< All other peers.
+  /// Remote peers that place requests, and those that may do so in domains of
+  /// which no host is heard.
+  std::set<HostId> Placing;
+  uint32_t PlacingPeers = 0; ///< Remote peers heard that place requests.
   uint32_t HeardHosts = 1;   ///< Hosts heard, this one included.
   uint32_t ServingHosts = 1; ///< These and the silent ones that may serve.
-  Time LastLevels;           ///< Time of the owner's last levels taken over.
+  std::pair<uint32_t, uint32_t> LoggedSize; ///< Heard and serving hosts.
+  Time SizeLoggedAt;
+  Time LastLevels; ///< Time of the owner's last levels taken over.
   Time NextPeerCheck;
   Time NextDomainSend;
   Time NextOwnerSend;
--- a/tests/test_count_relay.cpp
+++ b/tests/test_count_relay.cpp
@@ -1,5 +1,5 @@
-// Tests of the counts that hosts pass on over two levels, and of the quotas that
-// rest on them, with hundreds of hosts in virtual time over a lossy link.
+// Tests of the counts that hosts pass on over two levels, and of the quotas
+// that rest on them, with hundreds of hosts in virtual time over a lossy link.
 #include "count_relay_p.h"
 #include "fleet_codec_p.h"
 
@@ -236,7 +236,8 @@
       }
     }
     // Five receivers; the state of one host takes 4 KB/s at most.
-    double PerReceiver = static_cast<double>(Fleet.owner(0)->BytesSent) / 10 / 5;
+    double PerReceiver =
+        static_cast<double>(Fleet.owner(0)->BytesSent) / 10 / 5;
     CHECK(PerReceiver <= 4096.0 * static_cast<double>(HostsPerDomain));
   }
 }
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -333,13 +333,13 @@
   replyToInitialLists();
   CHECK(takeCall('w', DirectoryKind::Targets).Mode ==
         ReadConsistency::Linearizable);
-  Directory->setLeader(false, Now);
-  Directory->setLeader(true, Now);
-  Directory->setLeader(false, Now);
+  Directory->setLeader(false, false, Now);
+  Directory->setLeader(true, false, Now);
+  Directory->setLeader(false, false, Now);
   advance(100);
   CHECK(takeCall('w', DirectoryKind::Targets).Mode ==
         ReadConsistency::MayBeStale);
-  Directory->setLeader(true, Now);
+  Directory->setLeader(true, false, Now);
   advance(100);
   CHECK(takeCall('w', DirectoryKind::Targets).Mode ==
         ReadConsistency::Linearizable);
@@ -349,7 +349,7 @@
 
 TEST(DirectoryBeliefs, aLedHostAsksForAConfirmationOnlyWhenItsLeadDoesNot) {
   replyToInitialLists();
-  Directory->setLeader(false, Now);
+  Directory->setLeader(false, false, Now);
   for (int I = 0; I < 10; ++I) {
     Directory->onPeerConfirmation(10, Now);
     advance(1500);
