Relay: a target whose answer passes its limit counts as failed

Cause: the relay ended the call itself, and so the target's health did not change: a target that sends bytes without end stayed as good as any other. Test with a body without end (fails before: later requests still went there) and one with a head without end (held before as well). The scripted target now sends what its socket does not take at once.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -97,6 +97,10 @@
   }
   if (R->Body.size() + Part.size() > MaxResponseBytes) {
     R->MayHaveRun = true;
+    // The call ends here, so its end does not count against the target.
+    OutboundCallId Current = R->Call;
+    this->releasePlace(*R, AttemptResult::Failed);
+    R->Call = Current;
     this->fail(*R, 502, "the target's answer is over its limit");
     return;
   }
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -60,6 +60,8 @@
       }
       Sent += static_cast<size_t>(Done);
     }
+    // What the socket does not take yet follows as it becomes writable.
+    bufferevent_write(this->Socket, Bytes.data() + Sent, Bytes.size() - Sent);
     if (Step.AfterSend == TargetStep::Action::Close ||
         Step.AfterSend == TargetStep::Action::Reset) {
       this->closeSocket(Step.AfterSend == TargetStep::Action::Reset);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -121,6 +121,41 @@
   CHECK_FALSE(contains(Answer, "extra"));
 }
 
+// Guards against a target in trouble that sends bytes without end: the answer
+// ends at its limit, the connection is closed, the caller learns that the
+// request may have run, and the target becomes suspect.
+TEST(Relaying, aBodyWithoutEndIsCutAtItsLimitAndItsTargetSuspected) {
+  ScriptedTarget &Endless = H->target("i-1");
+  std::string Body(9 * 1024 * 1024, 'x');
+  setSteps(Endless,
+           {{"HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n\r\n" + Body,
+             Action::Hold, false}});
+  for (uint32_t I = 1; I <= 2; ++I) {
+    std::string Id = "r" + std::to_string(I);
+    CHECK(contains(H->sendRequest("/once/x", Id, "\r\n\r\n"), " 502 "));
+    CHECK(H->runUntil([&] { return Endless.ClosedConnections == I; }));
+  }
+  ScriptedTarget &Sound = H->target("i-2");
+  setSteps(Sound, {{validAnswer("fine"), Action::Keep, false}});
+  for (int I = 3; I <= 8; ++I) {
+    std::string Id = "r" + std::to_string(I);
+    CHECK(contains(H->sendRequest("/once/x", Id, "fine"), "fine"));
+  }
+  CHECK_EQUAL(2, Endless.Requests.size());
+}
+
+TEST(Relaying, aHeadWithoutEndIsCutAtItsLimit) {
+  ScriptedTarget &Endless = H->target("i-1");
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s\r\n";
+  for (int I = 0; I < 20000; ++I) {
+    Head += "X-More-" + std::to_string(I) + ": 0123456789\r\n";
+  }
+  setSteps(Endless, {{Head, Action::Hold, false}});
+  CHECK(contains(H->sendRequest("/once/x", "r1", "\r\n\r\n"), " 502 "));
+  CHECK(H->runUntil([&] { return Endless.ClosedConnections == 1; }));
+  CHECK_EQUAL(0, H->relay().stats().HeldRequests);
+}
+
 TEST(Relaying, anAnswerWithoutProofOrWithAnEncodingIsNotPassedOn) {
   ScriptedTarget &A = H->target("i-1");
   setSteps(A, {{"HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nContent-Length: 2\r\n\r\nno",
