--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -204,6 +204,10 @@
     }
     return;
   }
+  // Before the first list there is no time of confirmation to compare with.
+  if (!F.Synced || F.Listing || !this->Reachable) {
+    return;
+  }
   Duration Jitter(static_cast<int64_t>(
       hashPair(this->Seed, F.ConfirmedAt.time_since_epoch().count()) %
       static_cast<uint64_t>(MaxConfirmJitter.count())));
@@ -214,8 +218,7 @@
           ? LeaderConfirmAge
           : MinConfirmAge + Jitter +
                 (this->Leader ? Duration(0) : FollowerConfirmDelay);
-  bool Old = CurrentTime - F.ConfirmedAt >= Limit;
-  if (!F.Synced || F.Listing || !this->Reachable || (!Behind && !Old)) {
+  if (!Behind && CurrentTime - F.ConfirmedAt < Limit) {
     return;
   }
   F.Confirming = true;
--- a/tests/test_count_relay.cpp
+++ b/tests/test_count_relay.cpp
@@ -17,7 +17,8 @@
   HostId Id;
   size_t Domain = 0;
   bool Alive = true;
-  FleetQuota Quota{QuotaSlack{}};
+  FleetQuota Quota;
+  explicit SimulatedHost(const QuotaSlack &Slack) : Quota(Slack) {}
   CountRelay DomainCounts;
   RelayedHosts Relayed;
   uint32_t Sequence = 0;
@@ -30,12 +31,14 @@
 class SimulatedFleet {
 public:
   SimulatedFleet(size_t Domains, size_t HostsPerDomain,
-                 const RoutingConfig &Config, Time Start)
+                 const RoutingConfig &Config, const QuotaSlack &Slack,
+                 Time Start)
       : HostsPerDomain(HostsPerDomain), Now(Start) {
     for (size_t I = 0; I < Domains * HostsPerDomain; ++I) {
-      this->Hosts.push_back(std::make_unique<SimulatedHost>());
+      this->Hosts.push_back(std::make_unique<SimulatedHost>(Slack));
       this->Hosts.back()->Id = HostId{I + 1};
       this->Hosts.back()->Domain = I / HostsPerDomain;
+      this->Hosts.back()->Quota.setKnowledgeDelayed(true);
       this->Hosts.back()->Quota.configure(Config, Start);
     }
   }
@@ -167,6 +170,7 @@
 TEST_GROUP(CountRelay) {
   RoutingConfig Config;
   CustomerId Id = customerId("c");
+  QuotaSlack Slack;
   Time Now{seconds(100)};
 
   void setup() override {
@@ -184,7 +188,7 @@
   /// \p OwnersDie, the owner of one domain after the other dies.
   double admitted(size_t Domains, size_t HostsPerDomain, double Demand,
                   int Seconds, bool OwnersDie) {
-    SimulatedFleet Fleet(Domains, HostsPerDomain, Config, Now);
+    SimulatedFleet Fleet(Domains, HostsPerDomain, Config, Slack, Now);
     for (int I = 0; I < 500; ++I) {
       Fleet.step();
     }
@@ -220,6 +224,16 @@
   CHECK(admitted(6, 50, 3 * 600000, 8, false) >= Limit * 0.9);
 }
 
+// A customer that sends many times its usual: while owners pass the counts on,
+// every host admits by the same old level.
+TEST(CountRelay, aCustomerFarBeyondItsQuotaStaysWithinTheToleratedExcess) {
+  Slack.Overage = 0.1;
+  Slack.Tolerance = 190000;
+  Slack.Window = seconds(8);
+  double Limit = 600000.0 * 8 + 600000;
+  CHECK(admitted(6, 10, 7.5 * 600000, 8, false) <= Limit * 1.1 + 190000);
+}
+
 TEST(CountRelay, threeHundredNinetyHostsRefuseNothingBelowTheQuota) {
   double Demand = 0.8 * 600000;
   double Sum = admitted(6, 65, Demand, 10, false);
@@ -228,7 +242,7 @@
 
 TEST(CountRelay, whatOwnersSendEachOtherStaysBounded) {
   for (size_t HostsPerDomain : {17, 50, 65}) {
-    SimulatedFleet Fleet(6, HostsPerDomain, Config, Now);
+    SimulatedFleet Fleet(6, HostsPerDomain, Config, Slack, Now);
     for (int I = 0; I < 500; ++I) {
       Fleet.step();
       for (auto &Host : Fleet.Hosts) {
