--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -263,7 +263,6 @@
     this->applyFleetSize(Heard, Serving);
   }
   this->Relay.quota().setFollowsOwner(LevelsArrive);
-  this->Relay.quota().setKnowledgeDelayed(this->Owner.isValid());
   this->chooseOwners(Now, Leaving);
   this->removeSilentPeers(Now);
 }
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -54,7 +54,7 @@
   double Passed = toSeconds(Now - B.LastRefill);
   B.LastRefill = Now;
   double Rate = B.Rate;
-  if (this->SpareCapacity && !this->KnowledgeDelayed) {
+  if (this->SpareCapacity) {
     double Window = toSeconds(this->Slack.Window);
     Rate += (this->Slack.Overage * OverageShare * (B.Rate * Window + B.Burst) +
              this->Slack.Tolerance * ToleranceShare) /
--- a/src/fleet_quota_p.h
+++ b/src/fleet_quota_p.h
@@ -61,10 +61,6 @@
   void setSpareCapacity(bool SpareCapacity) {
     this->SpareCapacity = SpareCapacity;
   }
-  /// Sets whether this host learns of other hosts' admissions through owners.
-  /// What they admit in the meantime uses the tolerated excess up, so none of
-  /// it is given to customers then.
-  void setKnowledgeDelayed(bool Delayed) { this->KnowledgeDelayed = Delayed; }
   /// Returns the totals that this host admitted, for its peers.
   std::vector<CustomerUse> ownUse() const;
   /// Returns the levels of all customers that have a quota.
@@ -110,7 +106,6 @@
   double RateShare = 1;
   bool Configured = false; ///< The quotas were configured before.
   bool SpareCapacity = true;
-  bool KnowledgeDelayed = false;
 };
 
 } // namespace shallotlatch
--- a/tests/test_count_relay.cpp
+++ b/tests/test_count_relay.cpp
@@ -38,7 +38,6 @@
       this->Hosts.push_back(std::make_unique<SimulatedHost>(Slack));
       this->Hosts.back()->Id = HostId{I + 1};
       this->Hosts.back()->Domain = I / HostsPerDomain;
-      this->Hosts.back()->Quota.setKnowledgeDelayed(true);
       this->Hosts.back()->Quota.configure(Config, Start);
     }
   }
