Relay: log the prompt parts of a lost answer, and crashes that peers report

The logs of the incident cannot say what the broken requests share: a lost answer names neither its content nor the parts of its prompt, and a crash that only a peer counted leaves no trace. Both are logged now, and requests refused for their content are counted. No decision changes.

--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -61,6 +61,10 @@
     if (C.Count > KnownCount) {
       KnownCount = C.Count;
       T.LastCrash = Now;
+      logImportantEvent("crash-learned", {{"peer", toHex(Peer.Value)},
+                                          {"content", toHex(C.Print.Value)},
+                                          {"crashes", T.total()},
+                                          {"limit", this->Init.Limit}});
     }
   }
 }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -36,6 +36,12 @@
               .Name("shallotlatch_quota_total")
               .Help("Requests by whether their customer's quota took them")
               .Register(Registry)),
+      Quarantined(prometheus::BuildCounter()
+                      .Name("shallotlatch_quarantined_total")
+                      .Help("Requests refused since their content crashes "
+                            "targets")
+                      .Register(Registry)
+                      .Add({})),
       RequestDurations(prometheus::BuildHistogram()
                            .Name("shallotlatch_request_seconds")
                            .Help("From a request's last byte to its end")
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -40,6 +40,8 @@
   void recordRetry(bool Allowed);
   /// Counts one request, by whether its customer's quota admitted it.
   void recordQuotaDecision(bool Admitted);
+  /// Counts one request that was refused because its content crashes targets.
+  void recordQuarantine() { this->Quarantined.Increment(); }
   /// Sets the gauge \p Name. Callers pass string literals only, so that the
   /// number of gauges is bounded.
   void setGauge(const char *Name, double Value);
@@ -54,6 +56,7 @@
   Counters &Requests;
   Counters &Retries;
   Counters &QuotaDecisions;
+  prometheus::Counter &Quarantined;
   Histograms &RequestDurations;
   Histograms &FirstEventTimes;
   Histograms &LongestPauses;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -160,6 +160,7 @@
       hash64(R.Request.Head.Method + " " + R.Request.Head.Target),
       hash64(R.Request.Body, R.Customer == nullptr ? 0 : R.Customer->Id.Value));
   if (this->Crashes.isQuarantined(R.ContentFingerprint, Now)) {
+    this->Metrics.recordQuarantine();
     this->refuse(R, 503, "its content crashes targets", RetryAfterQuarantine);
     return false;
   }
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -249,10 +249,14 @@
       this->Crashes.onConnectionBroken(R.Target.Instance, R.ContentFingerprint,
                                        ProcessClock::now());
     }
+    const std::string *Parts =
+        R.Request.Head.find(this->Init.Headers.PromptParts);
     logEvent("answer-lost", {{"id", R.RequestId},
                              {"target", R.Target.Instance},
                              {"how", name(End)},
-                             {"events", R.EventCount}});
+                             {"events", R.EventCount},
+                             {"content", toHex(R.ContentFingerprint.Value)},
+                             {"parts", Parts == nullptr ? "" : *Parts}});
     R.Body.clear();
     if (this->tryRetry(R, name(End))) {
       this->Counts.Resumed += R.ResponseBegun ? 1 : 0;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -31,6 +31,7 @@
   std::string ServerStamp;    ///< From targets: proves a response is theirs.
   std::string NotRun;         ///< From targets: the request did not run.
   std::string TokenCounts;    ///< From callers: prompt and output tokens.
+  std::string PromptParts;    ///< From callers: parts of the prompt, in order.
   std::string KeyScheme;      ///< Scheme in the Authorization field.
   /// Fields of callers' requests that are not forwarded to targets.
   std::vector<std::string> StrippedCallerFields;
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -206,6 +206,7 @@
   Init.Headers.ServerStamp = "X-Stamp";
   Init.Headers.NotRun = "X-Not-Run";
   Init.Headers.TokenCounts = "X-Tokens";
+  Init.Headers.PromptParts = "X-Parts";
   Init.Headers.KeyScheme = "Token";
   Init.Headers.StrippedCallerFields = {"X-Customer", "X-Expect", "X-Secret"};
   FrontendInit Front;
