Relay: a stream that ends within an event is broken off

An answer without length or chunks ends with its connection, so a target that crashed in such a stream looked like one that had finished.

Such an end now counts as a broken connection, whatever the framing said. aStreamWithoutChunksThatEndsWithinAnEventIsBrokenOff failed before (no second target was asked).

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -88,6 +88,7 @@
   R->HeadReceived = true;
   R->Status = Head.Status;
   R->NotRun = Head.Status == 421 || Head.find(H.NotRun) != nullptr;
+  R->EndsAtClose = Head.BodyEndsAtClose;
   R->IsEventStream = Success && R->MatchedRoute->Kind == RouteKind::Stream;
   for (const HttpField &F : Head.Fields) {
     if (!isHopByHop(F.Name) && !equalsIgnoringCase(F.Name, "content-length")) {
@@ -217,6 +218,11 @@
   return true;
 }
 
+bool RequestRelay::endsWithinEvent(const RelayedRequest &R) {
+  bool NoEvent = R.EndsAtClose && R.AnswerBegunAt == Time();
+  return R.IsEventStream && (!R.Body.empty() || NoEvent);
+}
+
 bool RequestRelay::answerWellBegun(const RelayedRequest &R) {
   return R.AnswerBegunAt != Time() &&
          ProcessClock::now() - R.AnswerBegunAt > AnswerBeginning;
@@ -245,6 +251,9 @@
   RelayedRequest &R = *Found;
   ServiceId Service = R.Service;
   R.Tried.push_back(R.Target.Instance);
+  if (End == OutboundCallEnd::Complete && endsWithinEvent(R)) {
+    End = OutboundCallEnd::Broken;
+  }
   if (End == OutboundCallEnd::ConnectFailed) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), ProcessClock::now());
     this->releasePlace(R, AttemptResult::Unreachable);
@@ -296,11 +305,6 @@
 
 void RequestRelay::forwardCompleteResponse(RelayedRequest &R) {
   if (R.IsEventStream) {
-    // The bytes left are an incomplete event: the stream ended within it.
-    if (!R.Body.empty()) {
-      this->fail(R, 502, "the stream ended within an event");
-      return;
-    }
     if (!R.ResponseBegun) {
       R.ResponseBegun = true;
       this->Frontend.beginResponse(R.Request.Exchange, R.Status, R.Fields);
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -169,6 +169,7 @@
     bool HeadReceived = false;
     bool NotRun = false;
     bool IsEventStream = false; ///< The response is a stream of events.
+    bool EndsAtClose = false;   ///< The response ends with its connection.
     std::vector<HttpField> Fields;
     std::string Body;        ///< Whole body, or a stream's incomplete event.
     std::string LastEventId; ///< Id of the last event forwarded.
@@ -196,6 +197,9 @@
   void send(RelayedRequest &R, const PlacedRequest &P);
   std::string serializeRequest(const RelayedRequest &R) const;
   bool tryRetry(RelayedRequest &R, const char *Cause);
+  /// Whether a stream that has ended was broken off, as far as its framing does
+  /// not tell.
+  static bool endsWithinEvent(const RelayedRequest &R);
   /// Whether the current attempt's answer has begun and gone on for a while.
   static bool answerWellBegun(const RelayedRequest &R);
   /// Records whether the end of an attempt may be a crash that its content
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -242,6 +242,38 @@
   }
 }
 
+// Guards against a target that crashes in a stream without chunks, whose end
+// then looks like the end of the answer.
+TEST(Relaying, aStreamWithoutChunksThatEndsWithinAnEventIsBrokenOff) {
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s1\r\n"
+                     "Content-Type: text/event-stream\r\n\r\n";
+  const std::string FirstEvent = "id: 1\ndata: e1\n\n";
+  const std::string LastEvent = "id: 2\ndata: e2\n\n";
+  int Number = 0;
+  for (const std::string &Torn : {FirstEvent + "id: 2\nda", std::string()}) {
+    std::string Id = "r" + std::to_string(++Number);
+    ScriptedTarget &A = H->target("i-a" + Id);
+    setSteps(A, {{Head + Torn, Action::Close, false}});
+    size_t Caller = H->connect();
+    H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
+                        "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(H->runUntil([&] { return A.Requests.size() == 1; }));
+    ScriptedTarget &B = H->target("i-b" + Id);
+    setSteps(B, {{Head + (Torn.empty() ? FirstEvent : "") + LastEvent,
+                  Action::Close, false}});
+    CHECK(H->runUntil([&] {
+      return contains(H->received(Caller), "0\r\n\r\n") || H->closed(Caller);
+    }));
+    CHECK_EQUAL(1, B.Requests.size());
+    CHECK(contains(H->received(Caller), "data: e1"));
+    CHECK(contains(H->received(Caller), "data: e2"));
+    CHECK(contains(H->received(Caller), "0\r\n\r\n"));
+    H->relay().removeTarget("i-a" + Id);
+    H->relay().removeTarget("i-b" + Id);
+  }
+}
+
 TEST(Relaying, aCallerThatLeavesStopsItsWorkAtTheTarget) {
   ScriptedTarget &A = H->target("i-1");
   setSteps(A,
