--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -30,6 +30,8 @@
   std::string ExpectInstance; ///< To targets: any other instance must refuse.
   std::string ServerStamp;    ///< From targets: proves a response is theirs.
   std::string NotRun;         ///< From targets: the request did not run.
+  /// From targets: requests per second that they take from the whole fleet.
+  std::string TargetLimit;
   std::string TokenCounts;    ///< From callers: prompt and output tokens.
   std::string PromptParts;    ///< From callers: parts of the prompt, in order.
   std::string KeyScheme;      ///< Scheme in the Authorization field.
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -205,6 +205,7 @@
   Init.Headers.ExpectInstance = "X-Expect";
   Init.Headers.ServerStamp = "X-Stamp";
   Init.Headers.NotRun = "X-Not-Run";
+  Init.Headers.TargetLimit = "X-Limit";
   Init.Headers.TokenCounts = "X-Tokens";
   Init.Headers.PromptParts = "X-Parts";
   Init.Headers.KeyScheme = "Token";
