--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -394,6 +394,25 @@
       " 200 "));
 }
 
+// Guards against a target in need that gets as much as before, although it
+// names in its answers how much it takes.
+TEST(Relaying, aTargetThatNamesALimitGetsNoMoreThanThat) {
+  ScriptedTarget &Limited = H->target("i-1");
+  ScriptedTarget &Other = H->target("i-2");
+  setSteps(Limited, {{"HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s1\r\n"
+                      "X-Limit: 1.5\r\nContent-Length: 4\r\n\r\nfine",
+                      Action::Keep, false}});
+  Time Start = ProcessClock::now();
+  for (int I = 0; I < 60; ++I) {
+    CHECK(contains(H->sendRequest("/safe/x", "r" + std::to_string(I), "fine"),
+                   " 200 "));
+  }
+  double Seconds = toSeconds(ProcessClock::now() - Start);
+  CHECK(static_cast<double>(Limited.Requests.size()) <=
+        1.5 * 1.5 * Seconds + 5);
+  CHECK_EQUAL(60, requestCount(Limited, Other));
+}
+
 TEST(Relaying, aTargetIsToldTheTimeThatIsLeft) {
   ScriptedTarget &T = H->target("i-1");
   H->sendRequest("/safe/x", "r1", "fine");
