--- a/tests/test_shared.cpp
+++ b/tests/test_shared.cpp
@@ -122,6 +122,26 @@
   CHECK(F.verdict(Cleared)->Result == Outcome::Completed);
 }
 
+// Guards against a beginning of prompts that crashes engine after engine, in
+// prompts that all end differently.
+TEST(FleetWide, aPromptBeginningThatCrashesItsTargetsIsRefused) {
+  FleetFake F{FleetInit()};
+  F.advance(seconds(1));
+  FakeRequest R;
+  R.Kind = "model-normal";
+  R.Customer = "small";
+  uint32_t RunCount = 0;
+  for (uint32_t I = 0; I < 12; ++I) {
+    R.Body = std::string(2048, 'p') + std::to_string(I);
+    F.PoisonBodies.insert(R.Body);
+    size_t S = F.submit(I % 4, R);
+    F.advance(seconds(3));
+    RunCount += F.runsOf(S);
+  }
+  // Five crashes may pass before the beginning is known to cause them.
+  CHECK(RunCount <= 5);
+}
+
 // Guards against the quarantine of an innocent request: target crashes are
 // counted against every request that ran there, and a completed run must clear
 // the count.
