Target limits: keep the fleet to the rates that targets name

Cause: the field was passed on to callers and read by nobody. Class: a target's own word on its capacity is not part of the state that placement uses.

Now an answer that names a limit binds the whole fleet: few hosts (one for each request per second, and two), chosen by a hash of host and target, may send to that target, each at an equal part of the rate and at most one request in hand. The sum holds without an exchange of counts in fleets of any size, and also while hosts die, restart or are cut off. Peers pass limits on with the age of the observation; a report replaces what is known only if it was observed later by more than messages are under way. An answer without the field ends the limit. For engines the placing hosts share, for other services all hosts. The rest of the load goes to the other targets.

Ruled out: a share for each host (70 hosts with one request in hand each exceed 17 in 4 s) and a fleet-wide count like a customer's (its lag lets every host take the same token).

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -39,6 +39,13 @@
   sinceSurvivedMs @3 :UInt32;
 }
 
+struct TargetLimit {        # TargetLimitReport: rate that a target named.
+  target @0 :UInt32;        # Hash of the target's run.
+  limited @1 :Bool;         # False: its last answer named none.
+  perSecond @2 :Float64;    # Requests per second from the whole fleet.
+  sinceObservedMs @3 :UInt32;
+}
+
 struct HostCounts {          # Counts of a host that another host passes on.
   host @0 :UInt64;
   run @1 :UInt64;            # Process run of the host.
@@ -81,6 +88,7 @@
   crashReports @18 :List(CrashReport);
   deadTargets @19 :List(UInt32); # Hashes of the runs of targets that the sender
                                  # itself found dead lately.
+  limits @20 :List(TargetLimit);
 }
 
 struct WaitingAsk {          # WaitingRequest: it waits for a target.
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(939e7c046620da98);
 CAPNP_DECLARE_SCHEMA(9cb1d1a5ac1dad93);
 CAPNP_DECLARE_SCHEMA(c5ae4f75d732df85);
+CAPNP_DECLARE_SCHEMA(e6df282bbdd402c7);
 CAPNP_DECLARE_SCHEMA(cba62472fd5ad631);
 CAPNP_DECLARE_SCHEMA(a88f292ad7d0cdf4);
 CAPNP_DECLARE_SCHEMA(fe2a0c10edca35cc);
@@ -114,6 +115,21 @@
   };
 };
 
+struct TargetLimit {
+  TargetLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e6df282bbdd402c7, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HostCounts {
   HostCounts() = delete;
 
@@ -152,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -716,6 +732,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class TargetLimit::Reader {
+public:
+  typedef TargetLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTarget() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getSinceObservedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLimit::Builder {
+public:
+  typedef TargetLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTarget();
+  inline void setTarget( ::uint32_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getSinceObservedMs();
+  inline void setSinceObservedMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLimit::Pipeline {
+public:
+  typedef TargetLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HostCounts::Reader {
 public:
   typedef HostCounts Reads;
@@ -968,6 +1075,9 @@
   inline bool hasDeadTargets() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDeadTargets() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1090,6 +1200,13 @@
   inline void adoptDeadTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDeadTargets();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2161,6 +2278,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TargetLimit::Reader::getTarget() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLimit::Builder::getTarget() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setTarget( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TargetLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double TargetLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLimit::Reader::getSinceObservedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLimit::Builder::getSinceObservedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setSinceObservedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HostCounts::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2747,6 +2920,40 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool FleetState::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetState::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader FleetState::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void FleetState::Builder::setLimits( ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder FleetState::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void FleetState::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>> FleetState::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t WaitingAsk::Reader::getSerial() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -17,6 +17,7 @@
 static constexpr size_t MaxCrashReports = 16;
 static constexpr size_t MaxCrashesOfPrint = 8;
 static constexpr size_t MaxDeadTargets = 64;
+static constexpr size_t MaxTargetLimits = 128;
 static constexpr size_t MaxDeparting = 256;
 static constexpr size_t MaxRelayed = 256;
 static constexpr size_t MaxLevels = 1500;
@@ -95,6 +96,14 @@
                  S.Customers);
   writeCrashes(B.initCrashReports(wireCount(S.Crashes.size(), MaxCrashReports)),
                S.Crashes);
+  unsigned Limits = wireCount(S.Limits.size(), MaxTargetLimits);
+  auto LimitList = B.initLimits(Limits);
+  for (unsigned I = 0; I < Limits; ++I) {
+    LimitList[I].setTarget(S.Limits[I].Target);
+    LimitList[I].setLimited(S.Limits[I].Limited);
+    LimitList[I].setPerSecond(S.Limits[I].PerSecond);
+    LimitList[I].setSinceObservedMs(wireMillis(S.Limits[I].SinceObserved));
+  }
   unsigned Dead = wireCount(S.DeadTargets.size(), MaxDeadTargets);
   auto DeadList = B.initDeadTargets(Dead);
   for (unsigned I = 0; I < Dead; ++I) {
@@ -248,6 +257,10 @@
   for (uint32_t Target : R.getDeadTargets()) {
     S.DeadTargets.push_back(Target);
   }
+  for (fleetwire::TargetLimit::Reader L : R.getLimits()) {
+    S.Limits.push_back({L.getTarget(), L.getLimited(), L.getPerSecond(),
+                        millis(L.getSinceObservedMs())});
+  }
   for (fleetwire::HostCounts::Reader H : R.getRelayed()) {
     S.Relayed.push_back({HostId{H.getHost()}, H.getRun(), H.getWhole(),
                          readCustomers(H.getCustomers())});
--- a/src/fleet_codec_p.h
+++ b/src/fleet_codec_p.h
@@ -33,9 +33,12 @@
   std::vector<CustomerUse> Customers;
   /// What the sender knows of crashes, from its own requests and its peers.
   std::vector<CrashReport> Crashes;
-  uint64_t CrashVersion = 0; ///< Changes with `Crashes`; it is not sent.
   /// Short identities of targets that the sender found dead itself.
   std::vector<uint32_t> DeadTargets;
+  /// Limits that targets name, from the sender's own requests and its peers.
+  std::vector<TargetLimitReport> Limits;
+  /// Changes with the news of crashes and limits; it is not sent.
+  uint64_t NewsVersion = 0;
   /// Hashes that name the runs of targets that the sender knows from the store
   /// to be leaving or gone.
   std::vector<uint32_t> Departing;
--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -91,6 +91,7 @@
   }
   this->Relay.quota().mergePeerUse(State.Host, State.Run, State.Customers);
   this->Relay.crashes().merge(State.Crashes, State.DeadTargets, Now);
+  this->Relay.mergeTargetLimits(State.Limits);
   auto It = this->Link.peers().find(State.Host);
   if (It != this->Link.peers().end() && It->second.SameDomain) {
     this->DomainCounts.record(State.Host, State.Run, State.Customers, Now);
@@ -137,7 +138,9 @@
   State.Customers = this->Relay.quota().ownUse();
   State.Crashes = this->Relay.crashes().report(Now);
   State.DeadTargets = this->Relay.crashes().deadTargets(Now);
-  State.CrashVersion = this->Relay.crashes().version();
+  State.Limits = this->Relay.targetLimits(Now);
+  State.NewsVersion =
+      this->Relay.crashes().version() + this->Relay.targetLimitsVersion();
   State.Targets = this->Relay.ownUse();
   State.Departing = this->Relay.departingTargets(Now);
   return State;
@@ -155,7 +158,7 @@
   for (uint32_t Run : State.Departing) {
     Use += "-" + std::to_string(Run);
   }
-  Use += " crashes " + std::to_string(State.CrashVersion);
+  Use += " news " + std::to_string(State.NewsVersion);
   return Use;
 }
 
@@ -342,6 +345,24 @@
     this->Relay.setOwnerDepartingTargets({});
   }
   this->Directory.setLeader(!Follows, this->ownsDomain(), bootTime());
+  this->shareLimits();
+}
+
+// Every host has the same entries of hosts from the store, so all choose nearly
+// the same sharers.
+void FleetExchange::shareLimits() {
+  std::vector<HostId> All{this->SelfId};
+  std::vector<HostId> Placing{this->Owner.isValid() ? this->Owner
+                                                    : this->SelfId};
+  for (const auto &Item : this->Link.peers()) {
+    const FleetPeer &P = Item.second;
+    All.push_back(P.Id);
+    if (P.SameDomain ? !this->Owner.isValid()
+                     : this->Placing.count(P.Id) != 0) {
+      Placing.push_back(P.Id);
+    }
+  }
+  this->Relay.setLimitHosts(this->SelfId, Placing, All);
 }
 
 // Only hosts of the same domain remove an entry, and of these only the owner,
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -48,6 +48,8 @@
   /// Sets the limits that depend on the number of hosts of the fleet.
   void applyFleetSize(uint32_t Heard, uint32_t Serving);
   void chooseOwners(Time Now, bool Leaving);
+  /// Sets the hosts that share the limits which targets name.
+  void shareLimits();
   void removeSilentPeers(Time Now);
   /// Merges the counts that another owner passed on.
   void mergeRelayed(const HostState &State, Time Now);
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -96,6 +96,10 @@
 }
 
 void ServiceScheduler::removeTarget(const std::string &Instance) {
+  auto It = this->Targets.find(Instance);
+  if (It != this->Targets.end()) {
+    this->Limits.forget(It->second.Entry.shortIdentity());
+  }
   if (this->Targets.erase(Instance) != 0) {
     this->rebuildPeerUse();
   }
@@ -144,7 +148,10 @@
 
 bool ServiceScheduler::usable(const Target &T, Time Now) const {
   uint32_t Reserve = this->isPeerLoadDelayed(T.Entry) ? RemoteReservedSlots : 0;
-  if (T.Entry.Leaving || !T.AssignedHere ||
+  uint32_t Identity = T.Entry.shortIdentity();
+  // Of a limited target, the hosts that share its limit may use it.
+  bool Assigned = T.AssignedHere || this->Limits.isLimited(Identity);
+  if (T.Entry.Leaving || !Assigned || !this->Limits.allows(Identity, Now) ||
       T.OwnRunning + T.PeerRunning + Reserve >= T.Entry.Slots) {
     return false;
   }
@@ -303,6 +310,7 @@
                               Time Now) {
   ++T.OwnRunning;
   T.OwnPromptTokens += PromptTokens;
+  this->Limits.take(T.Entry.shortIdentity(), Now);
   InFlightRequest R;
   R.Instance = T.Entry.Instance;
   R.PromptTokens = PromptTokens;
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -6,6 +6,7 @@
 
 #include "first_event_model_p.h"
 #include "routing_p.h"
+#include "target_limits_p.h"
 
 #include <map>
 #include <optional>
@@ -143,6 +144,9 @@
   /// only a few of them may use one such target, and none may use its last
   /// slot.
   void setRemoteHosts(uint32_t Hosts);
+  /// Rates that the targets name for themselves.
+  TargetLimits &limits() { return this->Limits; }
+  const TargetLimits &limits() const { return this->Limits; }
   /// Use of the targets by the requests that this host counts as its own.
   std::vector<TargetUse> ownUse() const;
   /// Names of the instances with these hashes; unknown hashes are skipped.
@@ -244,6 +248,7 @@
   std::string OwnDomain;
   FirstEventModel FirstEvent;
   DomainLatency Latency;
+  TargetLimits Limits;
   std::map<std::string, Target> Targets;
   std::map<QueueKey, PlacementRequest> Queue;
   std::unordered_map<PlacementId, QueueKey> QueueKeys;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -68,6 +68,7 @@
         [this] { return PlacementId{this->NextRun++}; });
     S->Places->setOwner(this->Owner);
     S->Places->scheduler().setRemoteHosts(this->RemoteHosts);
+    this->applyLimitHosts(*S->Places);
     for (const auto &Item : this->Targets) {
       if (Item.second.Service == Id) {
         S->Places->scheduler().setTarget(this->withOwnerDeparture(Item.second),
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -85,13 +85,7 @@
       (Success && Head.find(H.ServerStamp) == nullptr)) {
     return ResponseHeadAction::Refuse;
   }
-  const std::string *Limit = Head.find(H.TargetLimit);
-  if (Limit != nullptr) {
-    logEvent("target-limit", {{"id", R->RequestId},
-                              {"target", R->Target.Instance},
-                              {"per-second", *Limit},
-                              {"attempts", R->Attempts}});
-  }
+  this->observeLimit(*R, Head);
   R->HeadReceived = true;
   R->Status = Head.Status;
   R->NotRun = Head.Status == 421 || Head.find(H.NotRun) != nullptr;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -32,9 +32,9 @@
   std::string NotRun;         ///< From targets: the request did not run.
   /// From targets: requests per second that they take from the whole fleet.
   std::string TargetLimit;
-  std::string TokenCounts;    ///< From callers: prompt and output tokens.
-  std::string PromptParts;    ///< From callers: parts of the prompt, in order.
-  std::string KeyScheme;      ///< Scheme in the Authorization field.
+  std::string TokenCounts; ///< From callers: prompt and output tokens.
+  std::string PromptParts; ///< From callers: parts of the prompt, in order.
+  std::string KeyScheme;   ///< Scheme in the Authorization field.
   /// Fields of callers' requests that are not forwarded to targets.
   std::vector<std::string> StrippedCallerFields;
 };
@@ -104,6 +104,17 @@
   void receive(const PlacementReport &Book);
   void receive(const PlacementReply &Reply);
   std::vector<TargetUse> ownUse() const;
+  /// Sets this host and the hosts that share the limits which targets name:
+  /// those that place requests to engines, and all that serve.
+  void setLimitHosts(HostId Self, const std::vector<HostId> &Placing,
+                     const std::vector<HostId> &All);
+  /// What peers need to know of the targets' limits.
+  std::vector<TargetLimitReport> targetLimits(Time Now);
+  void mergeTargetLimits(const std::vector<TargetLimitReport> &Reports);
+  /// Changes whenever there is something new in `targetLimits`.
+  uint64_t targetLimitsVersion() const;
+  /// Number of targets that name a limit.
+  size_t limitedTargets() const;
   /// Short identities of the target processes that are leaving or were removed
   /// recently.
   std::vector<uint32_t> departingTargets(Time Now);
@@ -186,6 +197,9 @@
   RelayedRequest *find(PlacementId Id);
   RelayedRequest *findByCall(OutboundCallId Call);
   ServiceState &service(ServiceId Id);
+  void applyLimitHosts(ServicePlacement &Places);
+  /// Takes over the limit that an answer names, or that it names none.
+  void observeLimit(const RelayedRequest &R, const HttpHead &Head);
   TargetEntry withOwnerDeparture(TargetEntry Target) const;
   bool admit(RelayedRequest &R);
   const GatewayCustomer *authenticate(const RelayedRequest &R,
@@ -241,6 +255,9 @@
   uint64_t NextRun = 1;
   uint32_t Hosts = 1;
   uint32_t RemoteHosts = 0;
+  HostId Self; ///< Invalid until `setLimitHosts`.
+  std::vector<HostId> PlacingHosts;
+  std::vector<HostId> AllHosts;
   HostId Owner;
   PlacementTransport *PlacementChannel = nullptr;
   event *PlacementSendEvent = nullptr;
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -92,4 +92,89 @@
   }
 }
 
+void RequestRelay::applyLimitHosts(ServicePlacement &Places) {
+  if (this->Self.isValid()) {
+    Places.scheduler().limits().setHosts(
+        this->Self, Places.isEngine() ? this->PlacingHosts : this->AllHosts,
+        ProcessClock::now());
+  }
+}
+
+void RequestRelay::setLimitHosts(HostId Host,
+                                 const std::vector<HostId> &Placing,
+                                 const std::vector<HostId> &All) {
+  this->Self = Host;
+  this->PlacingHosts = Placing;
+  this->AllHosts = All;
+  for (const auto &Item : this->Services) {
+    this->applyLimitHosts(*Item.second->Places);
+  }
+}
+
+// An answer that shows no proof of its origin, or that a target gave instead of
+// running the request, says nothing by the lack of a limit.
+void RequestRelay::observeLimit(const RelayedRequest &R, const HttpHead &Head) {
+  const RelayHeaders &H = this->Init.Headers;
+  TargetLimits &Limits = this->service(R.Service).Places->scheduler().limits();
+  const std::string *Field = Head.find(H.TargetLimit);
+  Time Now = ProcessClock::now();
+  double PerSecond = 0;
+  if (Field != nullptr && parseTargetLimit(*Field, PerSecond)) {
+    Limits.observe(R.Target.shortIdentity(), PerSecond, Now);
+  } else if (Field != nullptr) {
+    logEvent("target-limit-unreadable", {{"id", R.RequestId},
+                                         {"target", R.Target.Instance},
+                                         {"limit", *Field}});
+  } else if (Head.find(H.ServerStamp) != nullptr) {
+    Limits.observeNone(R.Target.shortIdentity(), Now);
+  }
+}
+
+std::vector<TargetLimitReport> RequestRelay::targetLimits(Time Now) {
+  std::vector<TargetLimitReport> Reports;
+  for (const auto &Item : this->Services) {
+    std::vector<TargetLimitReport> Part =
+        Item.second->Places->scheduler().limits().report(Now);
+    Reports.insert(Reports.end(), Part.begin(), Part.end());
+  }
+  return Reports;
+}
+
+void RequestRelay::mergeTargetLimits(
+    const std::vector<TargetLimitReport> &Reports) {
+  if (Reports.empty()) {
+    return;
+  }
+  std::unordered_map<uint32_t, ServiceId> ServiceOf;
+  for (const auto &Item : this->Targets) {
+    ServiceOf[Item.second.shortIdentity()] = Item.second.Service;
+  }
+  Time Now = ProcessClock::now();
+  for (const TargetLimitReport &Report : Reports) {
+    auto It = ServiceOf.find(Report.Target);
+    if (It != ServiceOf.end()) {
+      this->service(It->second)
+          .Places->scheduler()
+          .limits()
+          .merge({Report}, Now);
+    }
+  }
+}
+
+uint64_t RequestRelay::targetLimitsVersion() const {
+  uint64_t Version = 0;
+  for (const auto &Item : this->Services) {
+    Version += Item.second->Places->scheduler().limits().version();
+  }
+  return Version;
+}
+
+size_t RequestRelay::limitedTargets() const {
+  size_t Count = 0;
+  for (const auto &Item : this->Services) {
+    Count += Item.second->Places->scheduler().limits().count();
+  }
+  return Count;
+}
+
 } // namespace shallotlatch
--- a/src/service_places_p.h
+++ b/src/service_places_p.h
@@ -28,6 +28,7 @@
   /// The scheduler: targets, load of peers and statistics.
   ServiceScheduler &scheduler() { return this->Scheduler; }
   const ServiceScheduler &scheduler() const { return this->Scheduler; }
+  bool isEngine() const { return this->Engine; }
   /// Sets the owner of this host's failure domain; with an invalid id every
   /// host places its own requests. Services that are no engines ignore it:
   /// their calls end before an owner's exact knowledge of the load could
--- a/tests/test_fleet_limits.cpp
+++ b/tests/test_fleet_limits.cpp
@@ -149,6 +149,7 @@
   S.Crashes = {
       {Fingerprint{77}, {{11, millis(30), millis(20)}}, true, millis(10)}};
   S.DeadTargets = {13};
+  S.Limits = {{17, true, 2.1, millis(40)}};
   FleetMessage Message;
   CHECK(decodeFleetMessage(encodeHostState(S), Message));
   const HostState &T = std::get<HostState>(Message);
@@ -161,6 +162,9 @@
   CHECK(T.Crashes[0].Crashes[0].SinceBroken == millis(20));
   CHECK(T.Crashes[0].Survived && T.Crashes[0].SinceSurvived == millis(10));
   CHECK_EQUAL(13, T.DeadTargets[0]);
+  CHECK(T.Limits[0].Target == 17 && T.Limits[0].Limited);
+  DOUBLES_EQUAL(2.1, T.Limits[0].PerSecond, 1e-9);
+  CHECK(T.Limits[0].SinceObserved == millis(40));
   CHECK(T.Stamp == S.Stamp);
   CHECK(T.Echo == S.Echo);
   CHECK_EQUAL(8, T.EchoRun);
