--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -247,6 +247,8 @@
   std::unordered_map<OutboundCallId, PlacementId> RunByCall;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> Services;
   std::unordered_map<std::string, TargetEntry> Targets;
+  /// Services of the targets by their short identities.
+  std::unordered_map<uint32_t, ServiceId> ServiceOfTarget;
   /// Times at which targets were removed, by the target's short identity.
   std::unordered_map<uint32_t, Time> RemovedTargets;
   std::set<uint32_t> OwnerDepartingTargets;
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -31,6 +31,10 @@
     }
   }
   this->RemovedTargets.erase(Target.shortIdentity());
+  if (It != this->Targets.end()) {
+    this->ServiceOfTarget.erase(It->second.shortIdentity());
+  }
+  this->ServiceOfTarget[Target.shortIdentity()] = Target.Service;
   this->Targets[Target.Instance] = Target;
   this->service(Target.Service)
       .Places->scheduler()
@@ -47,6 +51,7 @@
   this->RemovedTargets[It->second.shortIdentity()] = Now;
   this->Crashes.onTargetDied(It->second.shortIdentity(), Now);
   this->TargetClient.dropIdle(It->second.At, It->second.identity());
+  this->ServiceOfTarget.erase(It->second.shortIdentity());
   this->service(It->second.Service).Places->scheduler().removeTarget(Instance);
   this->Targets.erase(It);
 }
@@ -142,17 +147,10 @@
 
 void RequestRelay::mergeTargetLimits(
     const std::vector<TargetLimitReport> &Reports) {
-  if (Reports.empty()) {
-    return;
-  }
-  std::unordered_map<uint32_t, ServiceId> ServiceOf;
-  for (const auto &Item : this->Targets) {
-    ServiceOf[Item.second.shortIdentity()] = Item.second.Service;
-  }
   Time Now = ProcessClock::now();
   for (const TargetLimitReport &Report : Reports) {
-    auto It = ServiceOf.find(Report.Target);
-    if (It != ServiceOf.end()) {
+    auto It = this->ServiceOfTarget.find(Report.Target);
+    if (It != this->ServiceOfTarget.end()) {
       this->service(It->second)
           .Places->scheduler()
           .limits()
