Target limits: pass on the end of a limit until every host knows it

A host that had seen a limit named shortly before it ended, and that may not send to the target itself, kept the limit for up to ten minutes: peers reported the end with the age of its first observation, which was never later by more than the slack. Callers would have been refused while that target was free.

--- a/src/target_limits.cpp
+++ b/src/target_limits.cpp
@@ -67,9 +67,9 @@
 void TargetLimits::set(uint32_t Target, bool Limited, double PerSecond,
                        Time ObservedAt, Time Now) {
   auto It = this->Entries.find(Target);
-  bool WasLimited = It != this->Entries.end() && It->second.Limited;
-  if ((!Limited && !WasLimited) ||
-      (It == this->Entries.end() && this->Entries.size() >= MaxEntries)) {
+  bool Known = It != this->Entries.end();
+  bool WasLimited = Known && It->second.Limited;
+  if (!Known && (!Limited || this->Entries.size() >= MaxEntries)) {
     return;
   }
   Entry &E = this->Entries[Target];
@@ -82,6 +82,7 @@
   E.LevelAt = Now;
   E.Limited = Limited;
   E.PerSecond = PerSecond;
+  E.ChangedAt = Now;
   E.Rate = this->shareOf(Target, E);
   ++this->Version;
   logImportantEvent("target-limit", {{"target", Target},
@@ -152,7 +153,7 @@
   for (auto It = this->Entries.begin(); It != this->Entries.end();) {
     const Entry &E = It->second;
     Duration Age = Now - E.ObservedAt;
-    if (Age > (E.Limited ? LimitRetention : EndedRetention)) {
+    if (E.Limited ? Age > LimitRetention : Now - E.ChangedAt > EndedRetention) {
       It = this->Entries.erase(It);
       continue;
     }
--- a/src/target_limits_p.h
+++ b/src/target_limits_p.h
@@ -60,6 +60,7 @@
     bool Limited = false;
     double PerSecond = 0;
     Time ObservedAt;
+    Time ChangedAt;  ///< Time at which this host learned of the present limit.
     double Rate = 0; ///< This host's part in requests per second.
     /// Requests that this host may send, at most one, as of `LevelAt`.
     double Level = 0;
--- a/tests/test_target_limits.cpp
+++ b/tests/test_target_limits.cpp
@@ -50,6 +50,20 @@
   CHECK(Peer.allows(Target, Now));
 }
 
+// Guards against a limit that a host keeps for minutes after its end, since the
+// host saw it named shortly before and may not send there itself.
+TEST(TargetLimits, aHostThatSawALimitJustBeforeItsEndLearnsOfTheEnd) {
+  TargetLimits Peer;
+  Limits.observe(Target, 2, Now);
+  Peer.observe(Target, 2, Now + millis(300));
+  for (int I = 0; I < 10; ++I) {
+    Now += millis(400);
+    Limits.observeNone(Target, Now);
+    Peer.merge(Limits.report(Now), Now + millis(20));
+  }
+  CHECK_FALSE(Peer.isLimited(Target));
+}
+
 TEST(TargetLimits, aTargetThatTakesNothingIsStillAskedNowAndThen) {
   Limits.observe(Target, 0, Now);
   int Count = this->allowed(Limits, seconds(100));
