Scheduler: large requests use limited targets, small ones the others

Requests at or above the moving mean of prompt tokens and ten times the output tokens now go to a limited target if it can still be on time there, smaller ones only if no other target is free. Without a limited target nothing changes.

--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace shallotlatch {
 
@@ -50,6 +51,10 @@
 // this time count as equally good, since the prediction is not more exact.
 static constexpr double CostToleranceFactor = 1.3;
 static constexpr double CostToleranceMs = 10;
+// Weight of an output token in the size of a request, relative to a prompt
+// token.
+static constexpr double OutputTokenWeight = 10;
+static constexpr double MeanSizeWeight = 0.02;
 // Largest number of waiting requests of one service.
 static constexpr size_t MaxWaiting = 512;
 
@@ -106,7 +111,13 @@
   }
 }
 
+static double sizeOf(const PlacementRequest &Request) {
+  return Request.PromptTokens + OutputTokenWeight * Request.OutputTokens;
+}
+
 void ServiceScheduler::enqueue(const PlacementRequest &Request) {
+  double Weight = this->MeanSize == 0 ? 1 : MeanSizeWeight;
+  this->MeanSize += Weight * (sizeOf(Request) - this->MeanSize);
   QueueKey Key{
       Request.Rank, !this->canMeetObjective(Request, Request.Arrived),
       (Request.FirstAttempt + Request.Objective).time_since_epoch().count(),
@@ -175,6 +186,23 @@
   return C;
 }
 
+// A limit counts requests, whatever their size. So large requests use it, as
+// long as a limited target is free, and small ones only if no other is.
+void ServiceScheduler::preferBySize(const PlacementRequest &Request, Time Now) {
+  bool Large = sizeOf(Request) >= this->MeanSize;
+  Time Due = Request.FirstAttempt + Request.Objective;
+  auto Suits = [&](const Choice &C) {
+    bool Limited = this->Limits.isLimited(C.Selected->Entry.shortIdentity());
+    return Large ? Limited && Now + C.Predicted <= Due : !Limited;
+  };
+  if (this->Engine && this->Limits.count() > 0 &&
+      std::any_of(this->Choices.begin(), this->Choices.end(), Suits)) {
+    this->Choices.erase(std::remove_if(this->Choices.begin(),
+                                       this->Choices.end(), std::not_fn(Suits)),
+                        this->Choices.end());
+  }
+}
+
 // Hosts with the same knowledge would all choose the best target before they
 // learn of each other's choices, so the target is drawn at random from those
 // that are nearly as good.
@@ -190,12 +218,15 @@
       continue;
     }
     this->Choices.push_back(this->estimate(T, Request));
-    double Cost = this->Choices.back().Cost;
-    Best = this->Choices.size() == 1 ? Cost : std::min(Best, Cost);
   }
   if (this->Choices.empty()) {
     return Choice();
   }
+  this->preferBySize(Request, Now);
+  Best = this->Choices.front().Cost;
+  for (const Choice &C : this->Choices) {
+    Best = std::min(Best, C.Cost);
+  }
   auto Worse = [Best](const Choice &C) {
     return C.Cost > Best * CostToleranceFactor + CostToleranceMs;
   };
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -218,6 +218,9 @@
   void occupy(Target &T, PlacementId Id, double PromptTokens, Time Now);
   /// Chooses a target for the request, at random among nearly equal ones.
   Choice choose(const PlacementRequest &Request, Time Now);
+  /// Leaves in `Choices` the targets that suit the request's size better, if
+  /// there are any: limited ones for large requests, others for small ones.
+  void preferBySize(const PlacementRequest &Request, Time Now);
   /// Rebuilds the index by hash and the peers' use of every target.
   void rebuildPeerUse();
   /// Adds a peer's use to the targets (\p Sign 1) or subtracts it (\p Sign -1).
@@ -249,6 +252,7 @@
   FirstEventModel FirstEvent;
   DomainLatency Latency;
   TargetLimits Limits;
+  double MeanSize = 0; ///< Moving average of the size of requests.
   std::map<std::string, Target> Targets;
   std::map<QueueKey, PlacementRequest> Queue;
   std::unordered_map<PlacementId, QueueKey> QueueKeys;
--- a/tests/test_place_pool.cpp
+++ b/tests/test_place_pool.cpp
@@ -55,6 +55,43 @@
   CHECK_EQUAL(0, Refused.size());
 }
 
+// Guards against a limit of requests a second that small requests use up, while
+// large ones find no place.
+TEST(Placing, largeRequestsUseALimitedTargetAndSmallOnesTheOthers) {
+  addTarget("limited", 8);
+  addTarget("open", 8);
+  auto Identity = [](const char *Name) {
+    TargetEntry T;
+    T.Instance = Name;
+    return T.shortIdentity();
+  };
+  Scheduler->limits().observe(Identity("limited"), 2, Now);
+  int LargeOnLimited = 0;
+  int SmallOnLimited = 0;
+  for (int I = 0; I < 40; ++I) {
+    bool IsLarge = I % 2 == 0;
+    Now += millis(250);
+    PlacementRequest Request = makeRequest(0);
+    Request.OutputTokens = IsLarge ? 300 : 10;
+    Scheduler->enqueue(Request);
+    decide();
+    CHECK_EQUAL(1, Placed.size());
+    bool OnLimited = Placed[0].Target.Instance == "limited";
+    (IsLarge ? LargeOnLimited : SmallOnLimited) += OnLimited ? 1 : 0;
+    Scheduler->ended(Placed[0].Id, AttemptResult::Served, Now);
+  }
+  CHECK_EQUAL(0, SmallOnLimited);
+  CHECK(LargeOnLimited >= 16);
+  // Once no other target is free, small ones may use it too.
+  Scheduler->removeTarget("open");
+  Now += seconds(1);
+  PlacementRequest Request = makeRequest(0);
+  Request.OutputTokens = 10;
+  Scheduler->enqueue(Request);
+  decide();
+  CHECK_EQUAL(1, Placed.size());
+}
+
 TEST(Placing, whatPeersHaveRunningTakesSlots) {
   addTarget("only", 3);
   std::vector<TargetUse> Use = {{static_cast<uint32_t>(hash64("only")), 2, 0}};
