--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -260,8 +260,10 @@
                         "\r\nContent-Length: 0\r\n\r\n");
     CHECK(H->runUntil([&] { return A.Requests.size() == 1; }));
     ScriptedTarget &B = H->target("i-b" + Id);
-    setSteps(B, {{Head + (Torn.empty() ? FirstEvent : "") + LastEvent,
-                  Action::Close, false}});
+    std::string Rest = Head;
+    Rest += Torn.empty() ? FirstEvent : "";
+    Rest += LastEvent;
+    setSteps(B, {{Rest, Action::Close, false}});
     CHECK(H->runUntil([&] {
       return contains(H->received(Caller), "0\r\n\r\n") || H->closed(Caller);
     }));
