--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -302,6 +302,17 @@
   });
 }
 
+void FleetDirectory::recordEra(DirectoryKind Kind,
+                               const DirectoryReply &Reply) {
+  if (Reply.Era && *Reply.Era != this->StoreEra) {
+    logImportantEvent("store-era", {{"kind", name(Kind)},
+                                    {"era", *Reply.Era},
+                                    {"before", this->StoreEra},
+                                    {"revision", Reply.StoreRevision}});
+    this->StoreEra = *Reply.Era;
+  }
+}
+
 void FleetDirectory::onReply(DirectoryKind Kind, uint32_t CallNumber,
                              DirectoryReply &&Reply) {
   Feed &F = this->feed(Kind);
@@ -341,6 +352,7 @@
   if (!this->Reachable) {
     this->markReachable();
   }
+  this->recordEra(Kind, Reply);
   for (const DirectoryObject &Object : Reply.Objects) {
     if (F.Listing) {
       F.ListedNames.insert(Object.Name);
@@ -435,6 +447,14 @@
   auto Existing = F.Objects.find(Object.Name);
   if (Existing != F.Objects.end() && Existing->second >= Object.Revision) {
     F.PendingRemovals.erase(Object.Name);
+    if (Existing->second > Object.Revision) {
+      logEvent("object-older",
+               {{"kind", name(Kind)},
+                {"name", Object.Name},
+                {"revision", Object.Revision},
+                {"known", Existing->second},
+                {"version", Object.Config ? Object.Config->Version : 0}});
+    }
     // A list repeats known objects, and may be older than a watch.
     return;
   }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -41,7 +41,10 @@
   Status Result = Status::Failed;
   std::vector<DirectoryObject> Objects;
   uint64_t StoreRevision = 0; ///< Store revision that the reply reflects.
-  bool HasMore = false;       ///< The list continues after the last object.
+  /// Era of the store's history: it rises each time the store comes back from
+  /// an older copy. None if the store did not name it.
+  std::optional<uint64_t> Era;
+  bool HasMore = false; ///< The list continues after the last object.
 };
 
 /// Freshness that a read of the store requires.
@@ -123,6 +126,7 @@
     return this->Feeds[index(Kind)].Synced;
   }
   bool reachable() const { return this->Reachable; }
+  uint64_t storeEra() const { return this->StoreEra; }
   const std::shared_ptr<const RoutingConfig> &config() const {
     return this->Config;
   }
@@ -156,6 +160,7 @@
   ReadConsistency mode(DirectoryKind Kind) const;
   ReadConsistency listMode(DirectoryKind Kind) const;
   void call(DirectoryKind Kind, Time Now);
+  void recordEra(DirectoryKind Kind, const DirectoryReply &Reply);
   void onReply(DirectoryKind Kind, uint32_t CallNumber, DirectoryReply &&Reply);
   void confirm(Time Now);
   void onConfirmReply(uint64_t FromRevision, DirectoryReply &&Reply);
@@ -178,6 +183,7 @@
   FleetHost Self;
   std::shared_ptr<const RoutingConfig> Config;
   bool Reachable = false;
+  uint64_t StoreEra = 0;    ///< Era that the store named last; 0 if it did not.
   bool Registered = false;  ///< This host's entry is in the store.
   bool Registering = false; ///< The call that registers it is in flight.
   Time Now;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -185,6 +185,7 @@
     M.setGauge("targets_age_seconds", AgeSeconds(DirectoryKind::Targets));
     M.setGauge("config_revision", static_cast<double>(this->Directory->revision(
                                       DirectoryKind::Config)));
+    M.setGauge("store_era", static_cast<double>(this->Directory->storeEra()));
     M.setGauge("store_reachable", this->Directory->reachable() ? 1 : 0);
     M.setGauge("ready", this->ready() ? 1 : 0);
     ServiceSchedulerStats Pools = this->Relay->poolStats();
