Directory: take the store's return from an older copy for what it is

Cause: objects, watches and peers' confirmations were ordered by the store's revision, which goes back with the copy and is given out again. Version 16 had revision 28, which the hosts knew from version 13.

Now the era that the store names bounds what a revision means. A new era lists all again, drops late replies and calls of the former one, and keeps what is in force until something newer is shown: configurations by their version, targets by the start and sequence number of their own run. Peers confirm versions, not revisions, and tell the era that they saw, so that a host that slept through a return or holds a watch of the former era lists again.

What the copy lacks may be a version that nobody here has seen, so a read confirms nothing until the writers had the time to write again (2.2 s), and nothing that is older than what this host or its peers know. Targets that left stay away until they write again or the entry outlives three heartbeats; hosts that are missing are kept for 30 s, and a host whose own entry is missing registers again. A process that starts later finds in the hosts' entries that the era had settled.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -64,8 +64,7 @@
   run @1 :UInt64;            # Process run of the sender.
   sequence @2 :UInt32;       # Number of the message within the run.
   leaving @3 :Bool;
-  configRevision @4 :UInt64; # Newest configuration revision that the store
-                             # confirmed to the sender.
+  configRevision @4 :UInt64; # Sent by earlier releases only.
   stamp @5 :UInt64;          # Time of sending by the sender's own clock, in
                              # microseconds.
   echo @6 :UInt64;           # Latest stamp of the receiver that had reached the
@@ -89,6 +88,9 @@
   deadTargets @19 :List(UInt32); # Hashes of the runs of targets that the sender
                                  # itself found dead lately.
   limits @20 :List(TargetLimit);
+  configVersion @21 :UInt64; # Newest configuration version that the store
+                             # confirmed to the sender.
+  storeEra @22 :UInt64;      # Latest era of the store that the sender saw.
 }
 
 struct WaitingAsk {          # WaitingRequest: it waits for a target.
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -168,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(fe2a0c10edca35cc, 11, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1078,6 +1078,10 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1207,6 +1211,12 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::TargetLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2954,6 +2964,34 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetState::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetState::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetState::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetState::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void FleetState::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t WaitingAsk::Reader::getSerial() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -12,9 +12,6 @@
 // new list. Each wait is a call with a price, so shorter ones cost more;
 // unresponsive connections are found by keep-alive probes.
 static constexpr Duration WatchWait = seconds(15);
-// Time after the end of the wait at which a call without a reply is given up,
-// together with its connection.
-static constexpr Duration CallTimeoutMargin = millis(900);
 // Delay before the next watch, by kind, so that changes in quick succession
 // arrive together. The configuration has no delay, because its age limits are
 // the tightest.
@@ -23,28 +20,21 @@
 // Number of peers up to which WatchDelay applies as it is; with more peers it
 // grows in proportion.
 static constexpr uint32_t PeersAtBaseDelay = 10;
-// Age of the configuration at which this host asks the store for a
-// confirmation. A jitter of up to MaxConfirmJitter is added, which differs
-// between hosts, so that one host asks and the others receive the result from
-// it.
-static constexpr Duration MinConfirmAge = millis(1100);
-static constexpr Duration MaxConfirmJitter = millis(600);
-// The same age for a leader that confirms for the followers of its domain.
-// Their ages are larger by the intervals of the messages to the leader and
-// back.
-static constexpr Duration LeaderConfirmAge = millis(700);
-// Additional age for a host that receives confirmations from the leader of its
-// domain: it asks the store only when the leader has failed to.
-static constexpr Duration FollowerConfirmDelay = millis(700);
 // Backoff after the first failed call; it doubles up to MaxBackoff.
 static constexpr Duration InitialBackoff = millis(100);
 static constexpr Duration MaxBackoff = millis(800);
-// Time for which a follower waits for a configuration that a peer knows of. Its
-// own cheaper watch shows it within this time unless the store lags.
-static constexpr Duration MaxFollowerLag = millis(300);
 // Targets whose entries lapsed while the store was unreachable have renewed
 // them within two seconds of its return; until then the old entries are used.
 static constexpr Duration LapseGrace = millis(2200);
+// Heartbeats without a sign of life after which the store removes a target's
+// entry.
+static constexpr int HeartbeatsUntilRemoval = 3;
+// Time after the store's return from a copy for which missing hosts are kept.
+// A host may notice late that its entry is missing, and while it is kept, its
+// peers exchange states with it and count it.
+static constexpr Duration HostReturnGrace = seconds(30);
+// Range of the delay before a host registers again after the store's return.
+static constexpr Duration MaxRegisterJitter = seconds(2);
 // Longest outage of the store in which no entry lapses.
 static constexpr Duration MaxOutageWithoutLapse = millis(1000);
 // Delay before this host's entry is written again.
@@ -85,17 +75,6 @@
              : CurrentTime - F.ConfirmedAt;
 }
 
-void FleetDirectory::onPeerConfirmation(uint64_t ConfigRevision, Time SentAt) {
-  Feed &F = this->feed(DirectoryKind::Config);
-  if (F.Synced && ConfigRevision == F.Revision) {
-    F.ConfirmedAt = std::max(F.ConfirmedAt, SentAt);
-  } else if (F.Synced && ConfigRevision > F.Revision &&
-             ConfigRevision > this->PeerRevision) {
-    this->PeerRevision = ConfigRevision;
-    this->PeerRevisionAt = this->Now;
-  }
-}
-
 // Peers are found by their datagrams, so a stale list of hosts does no harm.
 // The leader reads configurations and departures of targets itself. It passes
 // the departures on to its followers, and the revision of the configuration
@@ -110,7 +89,8 @@
                ? ReadConsistency::Linearizable
                : ReadConsistency::MayBeStale;
   case DirectoryKind::Hosts:
-    return ReadConsistency::MayBeStale;
+    return this->Feeds[index(Kind)].IsReturnList ? ReadConsistency::Linearizable
+                                                 : ReadConsistency::MayBeStale;
   }
   return ReadConsistency::Linearizable;
 }
@@ -145,14 +125,15 @@
   Feed &F = this->feed(Kind);
   F.CallInFlight = true;
   F.CallStartedAt = CurrentTime;
+  F.CallMode = F.Listing ? this->listMode(Kind) : this->mode(Kind);
   uint32_t CallNumber = ++F.CallNumber;
   auto Done = [this, Kind, CallNumber](DirectoryReply &&Reply) {
     this->onReply(Kind, CallNumber, std::move(Reply));
   };
   if (F.Listing) {
-    this->Store.list(Kind, F.ListAfter, this->listMode(Kind), Done);
+    this->Store.list(Kind, F.ListAfter, F.CallMode, Done);
   } else {
-    this->Store.watch(Kind, F.WatchRevision, WatchWait, this->mode(Kind), Done);
+    this->Store.watch(Kind, F.WatchRevision, WatchWait, F.CallMode, Done);
   }
 }
 
@@ -162,7 +143,7 @@
     DirectoryKind Kind = static_cast<DirectoryKind>(I);
     Feed &F = this->Feeds[I];
     Duration CallTimeout =
-        (F.Listing ? Duration(0) : WatchWait) + CallTimeoutMargin;
+        (F.Listing ? Duration(0) : WatchWait) + DirectoryCallTimeout;
     if (F.CallInFlight && CurrentTime - F.CallStartedAt > CallTimeout) {
       DirectoryReply TimedOut;
       this->onReply(Kind, F.CallNumber, std::move(TimedOut));
@@ -183,82 +164,24 @@
     }
     for (const std::string &Name : Lapsed) {
       F.PendingRemovals.erase(Name);
-      this->remove(Kind, Name);
+      this->remove(Kind, Name, false);
     }
   }
+  if (this->ReadAgain && CurrentTime >= this->CopyGraceEnd) {
+    this->ReadAgain = false;
+    this->restartList(this->feed(DirectoryKind::Targets));
+  }
   this->confirm(CurrentTime);
+  this->markSettledEra();
+  // The list shows the eras that hosts saw settle before this host replaces the
+  // entry of its earlier run.
   if (!this->Registered && !this->Registering &&
+      this->feed(DirectoryKind::Hosts).Synced &&
       CurrentTime >= this->RegisterAt) {
     this->registerHost(CurrentTime);
   }
 }
 
-// A watch that waits says nothing about the present, so calls without a wait
-// keep the configuration's age low. Peers pass the result on to each other.
-void FleetDirectory::confirm(Time CurrentTime) {
-  Feed &F = this->feed(DirectoryKind::Config);
-  if (F.Confirming) {
-    if (CurrentTime - F.ConfirmStartedAt > CallTimeoutMargin) {
-      F.Confirming = false;
-      this->markUnreachable();
-    }
-    return;
-  }
-  // Before the first list there is no time of confirmation to compare with.
-  if (!F.Synced || F.Listing || !this->Reachable) {
-    return;
-  }
-  Duration Jitter(static_cast<int64_t>(
-      hashPair(this->Seed, F.ConfirmedAt.time_since_epoch().count()) %
-      static_cast<uint64_t>(MaxConfirmJitter.count())));
-  bool Behind = this->PeerRevision > F.Revision &&
-                CurrentTime - this->PeerRevisionAt > MaxFollowerLag + Jitter;
-  Duration Limit =
-      this->HasFollowers
-          ? LeaderConfirmAge
-          : MinConfirmAge + Jitter +
-                (this->Leader ? Duration(0) : FollowerConfirmDelay);
-  if (!Behind && CurrentTime - F.ConfirmedAt < Limit) {
-    return;
-  }
-  F.Confirming = true;
-  F.ConfirmStartedAt = CurrentTime;
-  this->Events.onConfirmStarted();
-  Time CallStartedAt = CurrentTime;
-  uint64_t FromRevision = F.WatchRevision;
-  this->Store.watch(
-      DirectoryKind::Config, FromRevision, Duration(0),
-      ReadConsistency::Linearizable,
-      [this, CallStartedAt, FromRevision](DirectoryReply &&Reply) {
-        Feed &ConfigFeed = this->feed(DirectoryKind::Config);
-        if (ConfigFeed.Confirming &&
-            ConfigFeed.ConfirmStartedAt == CallStartedAt) {
-          ConfigFeed.Confirming = false;
-          this->onConfirmReply(FromRevision, std::move(Reply));
-        }
-      });
-}
-
-void FleetDirectory::onConfirmReply(uint64_t FromRevision,
-                                    DirectoryReply &&Reply) {
-  Feed &F = this->feed(DirectoryKind::Config);
-  if (Reply.Result != DirectoryReply::Status::Ok) {
-    if (Reply.Result == DirectoryReply::Status::HistoryGone) {
-      this->restartList(F);
-    } else {
-      this->markUnreachable();
-    }
-    return;
-  }
-  for (const DirectoryObject &Object : Reply.Objects) {
-    this->apply(DirectoryKind::Config, Object);
-  }
-  if (FromRevision == F.WatchRevision || !Reply.Objects.empty()) {
-    F.ConfirmedAt = std::max(F.ConfirmedAt, F.ConfirmStartedAt);
-    this->Events.onConfirmed(F.Revision);
-  }
-}
-
 // Starts again with a list; the reply to the call in flight is dropped.
 void FleetDirectory::restartList(Feed &F) {
   F.CallInFlight = false;
@@ -269,6 +192,58 @@
   F.NextCallAt = this->Now;
 }
 
+EraChange FleetDirectory::recordEra(const DirectoryReply &Reply,
+                                    ReadConsistency Mode) {
+  uint64_t Before = this->Eras.current();
+  EraChange Change = this->Eras.record(
+      Reply.Era, Mode == ReadConsistency::MayBeStale, this->Now);
+  if (Change == EraChange::Returned) {
+    logImportantEvent("store-era", {{"era", *Reply.Era},
+                                    {"before", Before},
+                                    {"revision", Reply.StoreRevision}});
+    this->startEra();
+  }
+  return Change;
+}
+
+// Revisions and watches of the former era mean nothing in the new one, so all
+// is listed again and replies to earlier calls are dropped. What this host
+// believes stays until the store shows something that was written later.
+void FleetDirectory::startEra() {
+  for (Feed &F : this->Feeds) {
+    this->restartList(F);
+    F.IsReturnList = true;
+    F.Confirming = false;
+    F.Revision = 0;
+    for (auto &Item : F.Objects) {
+      Item.second.Revision = 0;
+    }
+  }
+  this->CopyBehind = this->Config != nullptr;
+  this->LapseGraceEnd = this->Now + LapseGrace;
+  this->HostGraceEnd = this->Now + HostReturnGrace;
+  this->CopyGraceEnd =
+      this->Now + LapseGrace + this->Heartbeat * HeartbeatsUntilRemoval;
+  this->ReadAgain = true;
+  this->Departed.prune(this->Now);
+  // The call in flight may have written to the history that is lost.
+  ++this->RegisterNumber;
+  this->Registering = false;
+}
+
+void FleetDirectory::onPeerEra(uint64_t Era) {
+  if (this->Eras.current() == 0 ||
+      Era <= std::max(this->Eras.current(), this->PeerEra)) {
+    return;
+  }
+  this->PeerEra = Era;
+  logImportantEvent("store-era-of-peer",
+                    {{"era", Era}, {"own", this->Eras.current()}});
+  for (Feed &F : this->Feeds) {
+    this->restartList(F);
+  }
+}
+
 // Calls that wait at an unresponsive store may never get a reply, so all kinds
 // are listed again once the store replies.
 void FleetDirectory::markUnreachable() {
@@ -287,13 +262,37 @@
 
 void FleetDirectory::registerHost(Time) {
   this->Registering = true;
-  this->Store.registerHost(this->Self, [this](DirectoryReply &&Reply) {
+  uint32_t Number = ++this->RegisterNumber;
+  this->Store.registerHost(this->Self, [this, Number](DirectoryReply &&Reply) {
+    if (Number != this->RegisterNumber) {
+      return;
+    }
     this->Registering = false;
     this->Registered = Reply.Result == DirectoryReply::Status::Ok;
     this->RegisterAt = this->Now + RegisterRetryDelay;
   });
 }
 
+// A process that starts later reads the mark and need not wait for the era to
+// settle.
+void FleetDirectory::markSettledEra() {
+  uint64_t Era = this->Eras.current();
+  if (!StoreEras::needsMark(Era) || this->Self.SettledEra == Era ||
+      !this->Leader || !this->Registered || !this->Eras.settled(this->Now)) {
+    return;
+  }
+  this->Self.SettledEra = Era;
+  this->registerLater();
+}
+
+void FleetDirectory::registerLater() {
+  this->Registered = false;
+  this->RegisterAt =
+      this->Now + Duration(static_cast<int64_t>(
+                      hashPair(this->Seed, this->Eras.current()) %
+                      static_cast<uint64_t>(MaxRegisterJitter.count())));
+}
+
 void FleetDirectory::removeHost(const std::string &Name) {
   this->Store.removeHost(Name, [Name](DirectoryReply &&Reply) {
     logImportantEvent(
@@ -302,17 +301,6 @@
   });
 }
 
-void FleetDirectory::recordEra(DirectoryKind Kind,
-                               const DirectoryReply &Reply) {
-  if (Reply.Era && *Reply.Era != this->StoreEra) {
-    logImportantEvent("store-era", {{"kind", name(Kind)},
-                                    {"era", *Reply.Era},
-                                    {"before", this->StoreEra},
-                                    {"revision", Reply.StoreRevision}});
-    this->StoreEra = *Reply.Era;
-  }
-}
-
 void FleetDirectory::onReply(DirectoryKind Kind, uint32_t CallNumber,
                              DirectoryReply &&Reply) {
   Feed &F = this->feed(Kind);
@@ -320,6 +308,19 @@
     return;
   }
   F.CallInFlight = false;
+  bool FirstPage = F.Listing && F.ListAfter.empty();
+  switch (this->recordEra(Reply, F.CallMode)) {
+  case EraChange::None:
+    break;
+  case EraChange::Returned:
+    if (!FirstPage || Reply.Result != DirectoryReply::Status::Ok) {
+      return;
+    }
+    break;
+  case EraChange::Outdated:
+    F.NextCallAt = this->Now + InitialBackoff;
+    return;
+  }
   if (Reply.Result == DirectoryReply::Status::HistoryGone) {
     logImportantEvent("watch-history-gone",
                       {{"kind", name(Kind)}, {"from", F.WatchRevision}});
@@ -352,7 +353,6 @@
   if (!this->Reachable) {
     this->markReachable();
   }
-  this->recordEra(Kind, Reply);
   for (const DirectoryObject &Object : Reply.Objects) {
     if (F.Listing) {
       F.ListedNames.insert(Object.Name);
@@ -368,7 +368,9 @@
   if (F.Listing) {
     this->finishList(Kind);
   }
-  F.ConfirmedAt = std::max(F.ConfirmedAt, F.CallStartedAt);
+  if (Kind != DirectoryKind::Config || this->confirmsConfig(F.CallStartedAt)) {
+    F.ConfirmedAt = std::max(F.ConfirmedAt, F.CallStartedAt);
+  }
   F.Failures = 0;
   F.NextCallAt = this->Now + WatchDelay[index(Kind)] *
                                  (1 + this->PeerCount / PeersAtBaseDelay);
@@ -388,19 +390,6 @@
   this->Events.onStoreReachable(true);
 }
 
-// After an outage, entries of live targets that could not renew them are
-// missing for a while. These targets are kept until LapseGraceEnd.
-void FleetDirectory::removeUnlisted(DirectoryKind Kind,
-                                    const std::string &Name) {
-  Feed &F = this->feed(Kind);
-  if (Kind != DirectoryKind::Targets || this->Now >= this->LapseGraceEnd) {
-    F.PendingRemovals.erase(Name);
-    this->remove(Kind, Name);
-  } else if (F.Objects.count(Name) != 0) {
-    F.PendingRemovals[Name] = this->LapseGraceEnd;
-  }
-}
-
 void FleetDirectory::finishList(DirectoryKind Kind) {
   Feed &F = this->feed(Kind);
   std::vector<std::string> Unlisted;
@@ -412,6 +401,10 @@
   for (const std::string &Name : Unlisted) {
     this->removeUnlisted(Kind, Name);
   }
+  if (F.IsReturnList && Kind == DirectoryKind::Hosts && this->Registered &&
+      F.ListedNames.count(this->Self.Name) == 0) {
+    this->removeUnlisted(Kind, this->Self.Name);
+  }
   if (!F.Synced) {
     logImportantEvent("listed", {{"kind", name(Kind)},
                                  {"objects", F.Objects.size()},
@@ -419,76 +412,9 @@
   }
   F.Synced = true;
   F.Listing = false;
+  F.IsReturnList = false;
   F.ListAfter.clear();
   F.ListedNames.clear();
 }
 
-void FleetDirectory::remove(DirectoryKind Kind, const std::string &Name) {
-  Feed &F = this->feed(Kind);
-  if (F.Objects.erase(Name) == 0) {
-    return;
-  }
-  if (Kind == DirectoryKind::Targets) {
-    this->Events.onTargetGone(Name);
-  } else if (Kind == DirectoryKind::Hosts) {
-    this->Events.onHostGone(Name);
-    if (Name == this->Self.Name) {
-      this->Registered = false;
-    }
-  }
-}
-
-void FleetDirectory::apply(DirectoryKind Kind, const DirectoryObject &Object) {
-  Feed &F = this->feed(Kind);
-  if (Object.Deleted) {
-    this->removeUnlisted(Kind, Object.Name);
-    return;
-  }
-  auto Existing = F.Objects.find(Object.Name);
-  if (Existing != F.Objects.end() && Existing->second >= Object.Revision) {
-    F.PendingRemovals.erase(Object.Name);
-    if (Existing->second > Object.Revision) {
-      logEvent("object-older",
-               {{"kind", name(Kind)},
-                {"name", Object.Name},
-                {"revision", Object.Revision},
-                {"known", Existing->second},
-                {"version", Object.Config ? Object.Config->Version : 0}});
-    }
-    // A list repeats known objects, and may be older than a watch.
-    return;
-  }
-  if (!Object.ParseError.empty()) {
-    logImportantEvent("object-unreadable", {{"kind", name(Kind)},
-                                            {"name", Object.Name},
-                                            {"revision", Object.Revision},
-                                            {"mistake", Object.ParseError}});
-    this->remove(Kind, Object.Name);
-    return;
-  }
-  F.PendingRemovals.erase(Object.Name);
-  F.Objects[Object.Name] = Object.Revision;
-  F.Revision = std::max(F.Revision, Object.Revision);
-  if (Object.Config) {
-    if (this->Config && Object.Config->Version < this->Config->Version) {
-      logImportantEvent("config-older", {{"version", Object.Config->Version},
-                                         {"in-force", this->Config->Version}});
-      return;
-    }
-    this->Config = Object.Config;
-    logImportantEvent("config", {{"version", Object.Config->Version},
-                                 {"revision", Object.Revision},
-                                 {"routes", Object.Config->Routes.size()}});
-    this->Events.onConfig(this->Config);
-  } else if (Object.Target) {
-    this->Events.onTarget(*Object.Target);
-  } else if (Object.Host) {
-    if (Object.Name == this->Self.Name && Object.Host->Run != this->Self.Run) {
-      // The entry is that of an earlier run of this host and is replaced.
-      this->Registered = false;
-    }
-    this->Events.onHost(*Object.Host);
-  }
-}
-
 } // namespace shallotlatch
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "routing_p.h"
+#include "store_eras_p.h"
 
 #include <functional>
 #include <map>
@@ -87,10 +88,14 @@
   /// A call was started that asks the store whether the configuration is the
   /// newest.
   virtual void onConfirmStarted() = 0;
-  /// The store replied that \p ConfigRevision is the newest.
-  virtual void onConfirmed(uint64_t ConfigRevision) = 0;
+  /// The store replied that \p ConfigVersion is the newest.
+  virtual void onConfirmed(uint64_t ConfigVersion) = 0;
 };
 
+/// Time after the end of its wait at which a call without a reply is given up,
+/// together with its connection.
+constexpr Duration DirectoryCallTimeout = millis(900);
+
 /// Lists and then watches the objects of each kind. Times are passed in; their
 /// clock has to advance while the machine is suspended.
 class FleetDirectory {
@@ -99,10 +104,12 @@
 
   void start(const FleetHost &Self, Time Now);
   void tick(Time Now);
-  /// Records a peer's confirmation that \p ConfigRevision is the newest. The
+  /// Records a peer's confirmation that \p ConfigVersion is the newest. The
   /// peer asked the store after it had received the message that this host sent
   /// at \p SentAt, by this host's clock.
-  void onPeerConfirmation(uint64_t ConfigRevision, Time SentAt);
+  void onPeerConfirmation(uint64_t ConfigVersion, Time SentAt);
+  /// Records the era of the store that a peer saw.
+  void onPeerEra(uint64_t Era);
   /// Sets the number of other hosts that watch the same store. With more of
   /// them, changes are gathered for longer, so that the number of calls that
   /// the fleet makes in a second stays bounded.
@@ -111,6 +118,8 @@
   /// another host of its failure domain does so and passes them on.
   /// \p HasFollowers: this host does so for others.
   void setLeader(bool IsLeader, bool HasFollowers, Time Now);
+  /// Sets the interval at which targets renew their entries.
+  void setTargetHeartbeat(Duration Interval) { this->Heartbeat = Interval; }
   /// Removes the entry of a peer that is taken for gone.
   void removeHost(const std::string &Name);
 
@@ -126,16 +135,27 @@
     return this->Feeds[index(Kind)].Synced;
   }
   bool reachable() const { return this->Reachable; }
-  uint64_t storeEra() const { return this->StoreEra; }
+  uint64_t storeEra() const { return this->Eras.current(); }
   const std::shared_ptr<const RoutingConfig> &config() const {
     return this->Config;
   }
 
 private:
+  /// Returns the version of the configuration in force; 0 if there is none.
+  uint64_t configVersion() const {
+    return this->Config ? this->Config->Version : 0;
+  }
+  /// What is known of one object.
+  struct KnownObject {
+    uint64_t Revision = 0; ///< 0 until the current era has shown the object.
+    uint64_t Content = 0;  ///< Hash of what the directory reports of it.
+    TargetStamp Stamp;     ///< Of targets only.
+  };
   /// State of the list and the watch of one kind.
   struct Feed {
-    bool Synced = false;  ///< A complete list was read.
-    bool Listing = false; ///< The next call is a list.
+    bool Synced = false;       ///< A complete list was read.
+    bool Listing = false;      ///< The next call is a list.
+    bool IsReturnList = false; ///< It is the first list of an era.
     bool CallInFlight = false;
     /// Number of the last call; replies to other calls are dropped.
     uint32_t CallNumber = 0;
@@ -143,6 +163,7 @@
     uint64_t WatchRevision = 0; ///< Revision from which the next watch starts.
     uint64_t Revision = 0;      ///< Revision of the newest object applied.
     Time CallStartedAt;
+    ReadConsistency CallMode = ReadConsistency::Linearizable;
     bool Confirming = false; ///< A call without wait checks for changes.
     Time ConfirmStartedAt;
     /// Latest time at which the store was known to have nothing newer.
@@ -150,7 +171,7 @@
     Time NextCallAt;
     std::string ListAfter;             ///< Name after which the list continues.
     std::set<std::string> ListedNames; ///< Names in the list so far.
-    std::map<std::string, uint64_t> Objects; ///< Revision of each object.
+    std::map<std::string, KnownObject> Objects;
     /// Objects missing after an outage, and the time at which each is removed.
     std::map<std::string, Time> PendingRemovals;
   };
@@ -160,18 +181,32 @@
   ReadConsistency mode(DirectoryKind Kind) const;
   ReadConsistency listMode(DirectoryKind Kind) const;
   void call(DirectoryKind Kind, Time Now);
-  void recordEra(DirectoryKind Kind, const DirectoryReply &Reply);
+  EraChange recordEra(const DirectoryReply &Reply, ReadConsistency Mode);
+  void startEra();
+  /// Returns whether the store's word at \p ReadAt shows that the configuration
+  /// in force is the newest.
+  bool confirmsConfig(Time ReadAt) const;
+  bool isOutdated(const DirectoryObject &Object, bool Listed) const;
+  Time graceEnd(DirectoryKind Kind) const;
+  void applyConfig(const DirectoryObject &Object);
   void onReply(DirectoryKind Kind, uint32_t CallNumber, DirectoryReply &&Reply);
   void confirm(Time Now);
+  /// Returns whether a call has to be made to confirm the configuration.
+  bool confirmDue(Time Now) const;
   void onConfirmReply(uint64_t FromRevision, DirectoryReply &&Reply);
   void markUnreachable();
   void restartList(Feed &F);
   void apply(DirectoryKind Kind, const DirectoryObject &Object);
   void removeUnlisted(DirectoryKind Kind, const std::string &Name);
-  void remove(DirectoryKind Kind, const std::string &Name);
+  /// Drops an object. \p Departed: the store said that it was removed, as
+  /// opposed to missing in an older copy.
+  void remove(DirectoryKind Kind, const std::string &Name, bool Departed);
   void markReachable();
   void finishList(DirectoryKind Kind);
   void registerHost(Time Now);
+  /// Registers this host again after a delay that differs between hosts.
+  void registerLater();
+  void markSettledEra();
 
   DirectoryStore &Store;
   DirectoryEvents &Events;
@@ -183,16 +218,29 @@
   FleetHost Self;
   std::shared_ptr<const RoutingConfig> Config;
   bool Reachable = false;
-  uint64_t StoreEra = 0;    ///< Era that the store named last; 0 if it did not.
-  bool Registered = false;  ///< This host's entry is in the store.
-  bool Registering = false; ///< The call that registers it is in flight.
+  bool Registered = false;     ///< This host's entry is in the store.
+  bool Registering = false;    ///< The call that registers it is in flight.
+  uint32_t RegisterNumber = 0; ///< Number of the last call that registers it.
   Time Now;
   Time RegisterAt;
   Time UnreachableSince;
-  /// Newest configuration revision of which a peer knows, if it is newer than
+  /// Newest configuration version of which a peer knows, if it is newer than
   /// the own one, and when this host learned of it.
-  uint64_t PeerRevision = 0;
-  Time PeerRevisionAt;
+  uint64_t PeerVersion = 0;
+  Time PeerVersionAt;
+  StoreEras Eras;
+  uint64_t PeerEra = 0; ///< Latest era that a peer saw.
+  /// The store came back from a copy and has not shown the configuration in
+  /// force or a newer one since.
+  bool CopyBehind = false;
+  uint64_t ConfigEra = 0; ///< Era in which the store last showed it.
+  DepartedTargets Departed;
+  Duration Heartbeat = millis(1200);
+  /// End of the time in which entries may be those of the copy, and whether all
+  /// targets are still to be read again then.
+  Time CopyGraceEnd;
+  bool ReadAgain = false;
+  Time HostGraceEnd;  ///< End of the time for hosts to register again.
   Time LapseGraceEnd; ///< End of the time for lapsed targets to renew.
 };
 
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -79,7 +79,8 @@
   B.setRun(S.Run);
   B.setSequence(S.Sequence);
   B.setLeaving(S.Leaving);
-  B.setConfigRevision(S.ConfigRevision);
+  B.setConfigVersion(S.ConfigVersion);
+  B.setStoreEra(S.StoreEra);
   B.setStamp(static_cast<uint64_t>(S.Stamp.time_since_epoch().count()));
   B.setEcho(static_cast<uint64_t>(S.Echo.time_since_epoch().count()));
   B.setEchoRun(S.EchoRun);
@@ -245,7 +246,8 @@
   S.Run = R.getRun();
   S.Sequence = R.getSequence();
   S.Leaving = R.getLeaving();
-  S.ConfigRevision = R.getConfigRevision();
+  S.ConfigVersion = R.getConfigVersion();
+  S.StoreEra = R.getStoreEra();
   S.Stamp = Time(Duration(static_cast<int64_t>(R.getStamp())));
   S.Echo = Time(Duration(static_cast<int64_t>(R.getEcho())));
   S.EchoRun = R.getEchoRun();
--- a/src/fleet_codec_p.h
+++ b/src/fleet_codec_p.h
@@ -20,8 +20,10 @@
   uint64_t Run = 0;      ///< Process run of the sender.
   uint32_t Sequence = 0; ///< Number of the message within the run.
   bool Leaving = false;
-  /// Newest configuration revision that the store confirmed to the sender.
-  uint64_t ConfigRevision = 0;
+  /// Newest configuration version that the store confirmed to the sender.
+  uint64_t ConfigVersion = 0;
+  /// Latest era of the store that the sender saw; 0 if none was named.
+  uint64_t StoreEra = 0;
   /// Time at which the message was sent, by the sender's clock. Only the sender
   /// can compare it with other times.
   Time Stamp;
--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -71,8 +71,8 @@
   this->sendStates(Now, Leaving);
 }
 
-void FleetExchange::onConfirmed(uint64_t Revision) {
-  this->ConfirmedRevision = Revision;
+void FleetExchange::onConfirmed(uint64_t ConfigVersion) {
+  this->ConfirmedVersion = ConfigVersion;
   this->Link.onConfirmationReceived();
 }
 
@@ -107,8 +107,9 @@
   }
   this->mergeRelayed(State, Now);
   if (IsEcho) {
-    this->Directory.onPeerConfirmation(State.ConfigRevision, State.Echo);
+    this->Directory.onPeerConfirmation(State.ConfigVersion, State.Echo);
   }
+  this->Directory.onPeerEra(State.StoreEra);
 }
 
 void FleetExchange::mergeRelayed(const HostState &State, Time Now) {
@@ -132,7 +133,8 @@
   State.Host = this->SelfId;
   State.Run = this->Self.Run;
   State.Leaving = Leaving;
-  State.ConfigRevision = this->ConfirmedRevision;
+  State.ConfigVersion = this->ConfirmedVersion;
+  State.StoreEra = this->Directory.storeEra();
   State.HeardHosts = this->HeardHosts;
   State.ServingHosts = this->ServingHosts;
   State.Customers = this->Relay.quota().ownUse();
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -23,8 +23,8 @@
   FleetLink &link() { return this->Link; }
   /// Checks the peers and sends what is due. \p Leaving: this host is stopping.
   void tick(Time Now, bool Leaving);
-  /// Records that the store confirmed \p Revision of the configuration.
-  void onConfirmed(uint64_t Revision);
+  /// Records that the store confirmed \p ConfigVersion as the newest.
+  void onConfirmed(uint64_t ConfigVersion);
 
   // Implementation of FleetLinkEvents.
   void onState(const HostState &State) override;
@@ -64,8 +64,8 @@
   /// Host that places requests for the own failure domain; invalid: none.
   HostId Owner;
   uint32_t Sequence = 0; ///< Sequence of the last state sent.
-  /// Configuration revision that the store itself confirmed last.
-  uint64_t ConfirmedRevision = 0;
+  /// Configuration version that the store itself confirmed last.
+  uint64_t ConfirmedVersion = 0;
   uint32_t DomainPeers = 0; ///< Peers in the own failure domain.
   uint32_t RemotePeers = 0; ///< All other peers.
   /// Remote peers that place requests, and those that may do so in domains of
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -89,6 +89,7 @@
     this->Store = MakeStore(this->Base);
     this->Directory = std::make_unique<FleetDirectory>(*this->Store, *this,
                                                        hash64(Host.Host));
+    this->Directory->setTargetHeartbeat(Host.TargetHeartbeat);
     FrontendInit FrontendOptions;
     FrontendOptions.ListenAddress = Host.Caller;
     FrontendOptions.MaxConnections =
@@ -334,8 +335,8 @@
   void onConfirmStarted() override {
     this->Exchange->link().onConfirmationRequested();
   }
-  void onConfirmed(uint64_t ConfigRevision) override {
-    this->Exchange->onConfirmed(ConfigRevision);
+  void onConfirmed(uint64_t ConfigVersion) override {
+    this->Exchange->onConfirmed(ConfigVersion);
   }
   void onStoreReachable(bool Reachable) override {
     logImportantEvent(Reachable ? "store-regained" : "store-lost",
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -113,6 +113,7 @@
   uint32_t Slots = 1;      ///< Number of requests that may run at once.
   bool Leaving = false;    ///< The target is draining and takes no new request.
   int64_t StartedAtMs = 0; ///< Wall time of its start in ms, by its own clock.
+  uint64_t Sequence = 0;   ///< Rises with what the run writes to its entry.
 
   /// Hash that differs between two process runs with the same instance name.
   uint64_t identity() const {
@@ -132,6 +133,8 @@
   std::string Domain; ///< Failure domain.
   uint64_t Run = 0;   ///< Identifies the run of the host's process.
   double Cores = 1;   ///< Share of the processor that it may use, in cores.
+  /// Era of the store that the host saw settle; 0 if it saw none.
+  uint64_t SettledEra = 0;
 };
 
 /// Returns the id of a service, a hash of its name.
