--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -37,6 +37,10 @@
 static constexpr Duration MaxRegisterJitter = seconds(2);
 // Longest outage of the store in which no entry lapses.
 static constexpr Duration MaxOutageWithoutLapse = millis(1000);
+// Longest time between two ticks of a host that was not suspended, and time
+// within which a host that was learns what the store shows now.
+static constexpr Duration MaxTickGap = millis(500);
+static constexpr Duration WakeTime = millis(1500);
 // Delay before this host's entry is written again.
 static constexpr Duration RegisterRetryDelay = millis(500);
 
@@ -138,6 +142,9 @@
 }
 
 void FleetDirectory::tick(Time CurrentTime) {
+  if (CurrentTime - this->Now > MaxTickGap) {
+    this->postponeRemovals(CurrentTime + WakeTime);
+  }
   this->Now = CurrentTime;
   for (size_t I = 0; I < DirectoryKinds; ++I) {
     DirectoryKind Kind = static_cast<DirectoryKind>(I);
@@ -158,13 +165,15 @@
     }
     std::vector<std::string> Lapsed;
     for (const auto &Item : F.PendingRemovals) {
-      if (CurrentTime >= Item.second) {
+      // Missing objects cannot come back while the store is away, and a list
+      // that is under way shows whether they have.
+      if (this->Reachable && !F.Listing && CurrentTime >= Item.second) {
         Lapsed.push_back(Item.first);
       }
     }
     for (const std::string &Name : Lapsed) {
       F.PendingRemovals.erase(Name);
-      this->remove(Kind, Name, false);
+      this->remove(Kind, Name);
     }
   }
   if (this->ReadAgain && CurrentTime >= this->CopyGraceEnd) {
@@ -182,6 +191,15 @@
   }
 }
 
+// What came back while the host was suspended has not been read yet.
+void FleetDirectory::postponeRemovals(Time Earliest) {
+  for (Feed &F : this->Feeds) {
+    for (auto &Item : F.PendingRemovals) {
+      Item.second = std::max(Item.second, Earliest);
+    }
+  }
+}
+
 // Starts again with a list; the reply to the call in flight is dropped.
 void FleetDirectory::restartList(Feed &F) {
   F.CallInFlight = false;
@@ -384,7 +402,8 @@
   for (Feed &F : this->Feeds) {
     F.NextCallAt = this->Now;
   }
-  if (this->Now - this->UnreachableSince > MaxOutageWithoutLapse) {
+  if (this->Now - this->UnreachableSince > MaxOutageWithoutLapse ||
+      this->UnreachableSince < this->LapseGraceEnd) {
     this->LapseGraceEnd = this->Now + LapseGrace;
   }
   this->Events.onStoreReachable(true);
--- a/src/directory_objects.cpp
+++ b/src/directory_objects.cpp
@@ -31,25 +31,22 @@
     this->registerLater();
   } else if (this->Now >= this->graceEnd(Kind)) {
     F.PendingRemovals.erase(Name);
-    this->remove(Kind, Name, true);
+    this->remove(Kind, Name);
   } else if (F.Objects.count(Name) != 0) {
     F.PendingRemovals[Name] = this->graceEnd(Kind);
   }
 }
 
-void FleetDirectory::remove(DirectoryKind Kind, const std::string &Name,
-                            bool IsDeparture) {
+void FleetDirectory::remove(DirectoryKind Kind, const std::string &Name) {
   Feed &F = this->feed(Kind);
   auto It = F.Objects.find(Name);
   if (It == F.Objects.end()) {
     return;
   }
-  TargetStamp Last = It->second.Stamp;
+  int64_t StartedAtMs = It->second.Stamp.StartedAtMs;
   F.Objects.erase(It);
   if (Kind == DirectoryKind::Targets) {
-    if (IsDeparture) {
-      this->Departed.record(Name, Last, this->Now);
-    }
+    this->Departed.record(Name, StartedAtMs, this->Now);
     this->Events.onTargetGone(Name);
   } else if (Kind == DirectoryKind::Hosts) {
     this->Events.onHostGone(Name);
@@ -67,7 +64,7 @@
   const Feed &F = this->Feeds[index(DirectoryKind::Targets)];
   auto Known = F.Objects.find(Object.Name);
   return (Known != F.Objects.end() && Stamp < Known->second.Stamp) ||
-         (Listed && this->Departed.covers(Object.Name, Stamp));
+         (Listed && this->Departed.covers(Object.Name, Stamp.StartedAtMs));
 }
 
 static uint64_t contentOf(const DirectoryObject &Object) {
@@ -103,7 +100,7 @@
                                             {"name", Object.Name},
                                             {"revision", Object.Revision},
                                             {"mistake", Object.ParseError}});
-    this->remove(Kind, Object.Name, false);
+    this->remove(Kind, Object.Name);
     return;
   }
   if (this->isOutdated(Object, F.Listing)) {
@@ -128,8 +125,7 @@
     this->applyConfig(Object);
   } else if (Object.Host) {
     this->Eras.recordSettled(Object.Host->SettledEra);
-    if (Object.Name == this->Self.Name &&
-        Object.Host->Run != this->Self.Run) {
+    if (Object.Name == this->Self.Name && Object.Host->Run != this->Self.Run) {
       // The entry is that of an earlier run of this host and is replaced.
       this->Registered = false;
     }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -198,10 +198,10 @@
   void restartList(Feed &F);
   void apply(DirectoryKind Kind, const DirectoryObject &Object);
   void removeUnlisted(DirectoryKind Kind, const std::string &Name);
-  /// Drops an object. \p Departed: the store said that it was removed, as
-  /// opposed to missing in an older copy.
-  void remove(DirectoryKind Kind, const std::string &Name, bool Departed);
+  void remove(DirectoryKind Kind, const std::string &Name);
   void markReachable();
+  /// Keeps missing objects until \p Earliest at least.
+  void postponeRemovals(Time Earliest);
   void finishList(DirectoryKind Kind);
   void registerHost(Time Now);
   /// Registers this host again after a delay that differs between hosts.
--- a/src/store_eras.cpp
+++ b/src/store_eras.cpp
@@ -21,8 +21,8 @@
   }
   this->Current = *Era;
   // A process that starts in a later era cannot tell how long ago it began.
-  this->SettledAt = *Era > FirstEra || !IsFirst ? Now + RewriteTime
-                                                : Time{Duration::min()};
+  this->SettledAt =
+      *Era > FirstEra || !IsFirst ? Now + RewriteTime : Time{Duration::min()};
   return IsFirst ? EraChange::None : EraChange::Returned;
 }
 
@@ -42,15 +42,17 @@
   return {Target.StartedAtMs, Target.Sequence};
 }
 
-void DepartedTargets::record(const std::string &Instance, TargetStamp Last,
+void DepartedTargets::record(const std::string &Instance, int64_t StartedAtMs,
                              Time Now) {
-  this->Departures[Instance] = {Last, Now};
+  this->Departures[Instance] = {StartedAtMs, Now};
 }
 
+// The copy may hold an entry that this host has not seen, so sequence numbers
+// do not tell whether it was written before the target left.
 bool DepartedTargets::covers(const std::string &Instance,
-                             TargetStamp Stamp) const {
+                             int64_t StartedAtMs) const {
   auto It = this->Departures.find(Instance);
-  return It != this->Departures.end() && !(It->second.Last < Stamp);
+  return It != this->Departures.end() && StartedAtMs <= It->second.StartedAtMs;
 }
 
 void DepartedTargets::prune(Time Now) {
--- a/src/store_eras_p.h
+++ b/src/store_eras_p.h
@@ -54,19 +54,20 @@
 };
 TargetStamp stampOf(const TargetEntry &Target);
 
-/// Remembers the last entries of targets that left, so that an older copy of
-/// the store does not bring them back.
+/// Remembers which runs of targets left, so that an older copy of the store
+/// does not bring them back.
 class DepartedTargets {
 public:
-  void record(const std::string &Instance, TargetStamp Last, Time Now);
-  /// Returns whether the target had left when it had written \p Stamp.
-  bool covers(const std::string &Instance, TargetStamp Stamp) const;
+  /// \p StartedAtMs: start of the run that left.
+  void record(const std::string &Instance, int64_t StartedAtMs, Time Now);
+  /// Returns whether the run that started at \p StartedAtMs has left.
+  bool covers(const std::string &Instance, int64_t StartedAtMs) const;
   /// Drops what left longer ago than a copy may be old.
   void prune(Time Now);
 
 private:
   struct Departure {
-    TargetStamp Last;
+    int64_t StartedAtMs = 0;
     Time At;
   };
   std::map<std::string, Departure> Departures;
