--- a/tests/directory_harness.h
+++ b/tests/directory_harness.h
@@ -156,6 +156,37 @@
     reply('l', DirectoryKind::Hosts, {}, 12);
     advance(1100);
   }
+  uint64_t Era = 1; ///< Era that the store names.
+  /// Replies as the store does in the era \p Era.
+  void replyInEra(char Operation, DirectoryKind Kind,
+                  std::vector<DirectoryObject> List, uint64_t Revision) {
+    DirectoryReply R;
+    R.Result = DirectoryReply::Status::Ok;
+    R.Objects = std::move(List);
+    R.StoreRevision = Revision;
+    R.Era = this->Era;
+    takeCall(Operation, Kind).Done(std::move(R));
+  }
+  /// Replies to the calls that confirm the configuration for \p Ms.
+  void answerConfirmations(int64_t Ms, uint64_t Revision) {
+    for (int64_t Passed = 0; Passed < Ms; Passed += 20) {
+      for (size_t I = 0; I < Store.Calls.size();) {
+        ScriptedStore::Call &C = Store.Calls[I];
+        if (C.Operation != 'w' || C.Wait.count() != 0) {
+          ++I;
+          continue;
+        }
+        DirectoryReply R;
+        R.Result = DirectoryReply::Status::Ok;
+        R.StoreRevision = Revision;
+        R.Era = this->Era;
+        ScriptedStore::Call Confirmation = std::move(C);
+        Store.Calls.erase(Store.Calls.begin() + static_cast<long>(I));
+        Confirmation.Done(std::move(R));
+      }
+      advance(20);
+    }
+  }
 };
 
 } // namespace shallotlatch
--- a/tests/returning_fleet.h
+++ b/tests/returning_fleet.h
@@ -55,13 +55,13 @@
 
 /// What a run of the fleet counted.
 struct ReturningFleetCounts {
-  int Regressions = 0;      ///< A host put an older version into force.
-  int RevokedKeyUses = 0;   ///< A host trusted keys that had been revoked.
-  int ReturnedTargets = 0;  ///< A host used a target that it knew as leaving.
-  int StaleConfigs = 0;     ///< A host in touch lacked an acknowledged version.
-  int MissingTargets = 0;   ///< A host in touch lacked a live target.
-  int UntrustedChecks = 0;  ///< A host in touch trusted no key.
-  int TrustedChecks = 0;    ///< A host in touch trusted its keys.
+  int Regressions = 0;     ///< A host put an older version into force.
+  int RevokedKeyUses = 0;  ///< A host trusted keys that had been revoked.
+  int ReturnedTargets = 0; ///< A host used a target that it knew as leaving.
+  int StaleConfigs = 0;    ///< A host in touch lacked an acknowledged version.
+  int MissingTargets = 0;  ///< A host in touch lacked a live target.
+  int UntrustedChecks = 0; ///< A host in touch trusted no key.
+  int TrustedChecks = 0;   ///< A host in touch trusted its keys.
   int MaxCallsPerSecond = 0;
   int MaxWritesPerSecond = 0;
 };
