Daemon: a configuration is taken although its version was given out before

The class of the gateway's fault, in shallotlatchd: documents were ordered by the store's version of the object, which goes back with an older copy. Read in the code: the watch of the document was answered at once each time, since the store's version differed.

A host now tells by the hashes of the versions that it knew whether the store shows the copy or something that was written since, ranks versions by the era in which they were written, drops late replies of a former era and watches from the version that the store showed. A host that cannot tell ranks what it reads below all that its peers know. The stand-in names its era and can come back from a copy.

--- a/src/admin_state.cpp
+++ b/src/admin_state.cpp
@@ -14,6 +14,7 @@
       {"ready", N.ready()},
       {"draining", N.draining()},
       {"configVersion", ConfigCopy.Number.Value},
+      {"storeEra", ConfigCopy.StoreEra},
       {"configRejected", ConfigCopy.Rejected.Value},
       {"configMistakes", ConfigCopy.ParseErrors},
       {"hostsVersion", HostList.Number.Value},
--- a/src/admin_task.cpp
+++ b/src/admin_task.cpp
@@ -138,8 +138,10 @@
       return;
     }
     const json &Body = this->LocalNode.documents().body(DocumentKind::Config);
+    DocumentStats Copy =
+        this->LocalNode.documents().stats(DocumentKind::Config);
     Version Number =
-        this->LocalNode.documents().stats(DocumentKind::Config).Number;
+        Copy.StoreNumber.isValid() ? Copy.StoreNumber : Copy.Number;
     addHeader(Http, "X-Version", std::to_string(Number.Value));
     addHeader(Http, "X-From-Copy", "1");
     sendText(Http, Number.isValid() ? 200 : 503, "application/json",
--- a/src/documents.cpp
+++ b/src/documents.cpp
@@ -18,6 +18,20 @@
   return Kind == DocumentKind::Config ? "config" : "hosts";
 }
 
+// Number of versions whose hashes are kept to tell what an older copy of the
+// store holds.
+static constexpr size_t MaxPastHashes = 64;
+// Position of the era in the versions that hosts compare. Those of the first
+// era are the store's.
+static constexpr uint32_t EraShift = 40;
+static constexpr uint64_t StoreNumberMask = (uint64_t{1} << EraShift) - 1;
+
+static Version versionInEra(uint64_t Era, Version Number) {
+  return Era <= 1 ? Number : Version{((Era - 1) << EraShift) | Number.Value};
+}
+
+static uint64_t eraOf(Version Number) { return (Number.Value >> EraShift) + 1; }
+
 static uint64_t hashOf(const json &Body) { return hash64(Body.dump()); }
 
 ReplicatedDocuments::ReplicatedDocuments(NodeEnv &Env, Membership &Members,
@@ -75,6 +89,10 @@
   C.Number = Number;
   C.Body = std::move(Body);
   C.Hash = hash64(Text);
+  C.PastHashes[Version{Number.Value & StoreNumberMask}] = C.Hash;
+  if (C.PastHashes.size() > MaxPastHashes) {
+    C.PastHashes.erase(C.PastHashes.begin());
+  }
   this->Changed.push_back(Kind);
   this->sendVersions();
   return true;
@@ -167,10 +185,39 @@
   R.Kind = StoreRequest::Op::Watch;
   R.Token = WatchTokenBase + static_cast<uint32_t>(Kind);
   R.Name = objectName(Kind);
-  R.Expected = C.Rejected < C.Number ? C.Number : C.Rejected;
+  R.Expected = C.StoreNumber;
   this->Queue.push(std::move(R));
 }
 
+bool ReplicatedDocuments::isOfCopy(const Copy &C, Version Number,
+                                   uint64_t Hash) {
+  auto Past = C.PastHashes.find(Number);
+  return Hash == C.Hash || (Past != C.PastHashes.end() && Past->second == Hash);
+}
+
+// What a store that came back from an older copy shows is either of the copy,
+// and then not newer than what is in force, or was written since. A host that
+// cannot tell ranks it below everything that its peers know.
+void ReplicatedDocuments::onStoreBody(DocumentKind Kind,
+                                      const StoreReply &Reply, json Body) {
+  Copy &C = this->Copies[static_cast<int>(Kind)];
+  if (Reply.Era < C.Era) {
+    return; // A late reply of a former era.
+  }
+  bool IsFirst = C.Era == 0;
+  bool IsReturn = !IsFirst && Reply.Era > C.Era;
+  C.Era = Reply.Era;
+  C.StoreNumber = Reply.Number;
+  if (IsReturn &&
+      ReplicatedDocuments::isOfCopy(C, Reply.Number, hashOf(Body))) {
+    return;
+  }
+  bool WrittenInEra = !IsFirst || eraOf(C.Number) == Reply.Era;
+  this->install(
+      Kind, WrittenInEra ? versionInEra(Reply.Era, Reply.Number) : Reply.Number,
+      std::move(Body));
+}
+
 bool ReplicatedDocuments::onStoreReply(const StoreReply &Reply) {
   uint32_t I = Reply.Token - WatchTokenBase;
   if (I >= DocumentKindCount) {
@@ -180,11 +227,12 @@
   if (Reply.Result == StoreReply::Status::Ok) {
     json Body = json::parse(Reply.Body, nullptr, false);
     if (Body.is_discarded()) {
+      this->Copies[I].StoreNumber = Reply.Number;
       this->Copies[I].Rejected = Reply.Number;
       this->Copies[I].ParseErrors = "/: not valid JSON";
       return true;
     }
-    this->install(static_cast<DocumentKind>(I), Reply.Number, std::move(Body));
+    this->onStoreBody(static_cast<DocumentKind>(I), Reply, std::move(Body));
   }
   return true;
 }
@@ -210,7 +258,8 @@
 
 DocumentStats ReplicatedDocuments::stats(DocumentKind Kind) const {
   const Copy &C = this->Copies[static_cast<int>(Kind)];
-  return DocumentStats{C.Number, C.Rejected, C.Watching, C.ParseErrors};
+  return DocumentStats{C.Number,   C.StoreNumber, C.Era,
+                       C.Rejected, C.Watching,    C.ParseErrors};
 }
 
 } // namespace shallotlatch
--- a/src/documents_p.h
+++ b/src/documents_p.h
@@ -17,6 +17,8 @@
 /// State of one document, for status reports.
 struct DocumentStats {
   Version Number;
+  Version StoreNumber;     ///< Version that the store showed last.
+  uint64_t StoreEra = 0;   ///< Era in which it did.
   Version Rejected;        ///< Newest version that could not be parsed.
   bool Watching = false;   ///< A watch at the store is in flight.
   std::string ParseErrors; ///< Errors in the rejected version.
@@ -53,7 +55,11 @@
   struct Copy {
     Version Number;
     nlohmann::json Body;
-    uint64_t Hash = 0; ///< Hash of the serialized body.
+    uint64_t Hash = 0;   ///< Hash of the serialized body.
+    Version StoreNumber; ///< Version that the store showed last.
+    uint64_t Era = 0;    ///< Era in which it did; 0 if it never did.
+    /// Hashes of the bodies that the store had under its latest versions.
+    std::map<Version, uint64_t> PastHashes;
     /// Patches to the latest versions, oldest first.
     std::deque<Patch> Patches;
     bool Watching = false;
@@ -65,6 +71,10 @@
   bool applyContent(DocumentKind Kind, const std::string &Text, Copy &C,
                     Version Number);
   void sendVersions();
+  /// Returns whether an older copy of the store holds \p Hash under \p Number.
+  static bool isOfCopy(const Copy &C, Version Number, uint64_t Hash);
+  void onStoreBody(DocumentKind Kind, const StoreReply &Reply,
+                   nlohmann::json Body);
   void watch(DocumentKind Kind);
 
   NodeEnv &Env;
--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -29,12 +29,12 @@
                          : StoreReply::Status::Unavailable;
 }
 
-static Version versionOf(const HttpResult &R) {
-  auto It = R.Headers.find("x-version");
+static uint64_t numberOf(const HttpResult &R, const char *Field) {
+  auto It = R.Headers.find(Field);
   bool IsNumber =
       It != R.Headers.end() && !It->second.empty() && It->second.size() < 20 &&
       It->second.find_first_not_of("0123456789") == std::string::npos;
-  return Version{IsNumber ? std::stoull(It->second) : 0};
+  return IsNumber ? std::stoull(It->second) : 0;
 }
 
 StoreHttp::StoreHttp(HttpClient &Client, Address Server)
@@ -62,7 +62,8 @@
     StoreReply Reply;
     Reply.Token = Request.Token;
     Reply.Result = statusOf(Request, R);
-    Reply.Number = versionOf(R);
+    Reply.Number = Version{numberOf(R, "x-version")};
+    Reply.Era = numberOf(R, "x-era");
     Reply.Body = R.Body;
     Done(Reply);
   };
--- a/src/store_memory.cpp
+++ b/src/store_memory.cpp
@@ -6,6 +6,7 @@
   StoreReply Reply;
   auto It = this->Objects.find(Name);
   bool Found = It != this->Objects.end();
+  Reply.Era = this->Era;
   Reply.Result = Found ? StoreReply::Status::Ok : StoreReply::Status::NotFound;
   if (Found) {
     Reply.Number = It->second.Number;
@@ -24,6 +25,7 @@
   ++this->Writes;
   StoreReply Reply;
   Reply.Token = Request.Token;
+  Reply.Era = this->Era;
   Object &O = this->Objects[Request.Name];
   if (O.Number != Request.Expected) {
     Reply.Result = StoreReply::Status::Conflict;
@@ -64,12 +66,19 @@
   this->answer(Request, Done);
 }
 
+void StoreMemory::restore() {
+  this->Objects = this->Copied;
+  ++this->Era;
+  this->endWatches(StoreReply::Status::Unavailable);
+}
+
 void StoreMemory::endWatches(StoreReply::Status Result) {
   std::vector<Watcher> Due;
   Due.swap(this->Watchers);
   for (const Watcher &W : Due) {
     StoreReply Reply;
     Reply.Token = W.Request.Token;
+    Reply.Era = this->Era;
     Reply.Result = Result;
     W.Done(Reply);
   }
--- a/src/store_memory_p.h
+++ b/src/store_memory_p.h
@@ -21,6 +21,11 @@
   StoreReply peek(const std::string &Name) const;
   uint64_t writes() const { return this->Writes; }
   uint64_t reads() const { return this->Reads; }
+  /// Keeps a copy of all objects.
+  void copy() { this->Copied = this->Objects; }
+  /// Comes back from the copy in a new era; watches that wait end.
+  void restore();
+  uint64_t era() const { return this->Era; }
   /// Replies to every waiting watch with \p Result.
   void endWatches(StoreReply::Status Result);
 
@@ -38,6 +43,8 @@
   void write(const StoreRequest &Request, const Reply &Done);
 
   std::map<std::string, Object> Objects;
+  std::map<std::string, Object> Copied;
+  uint64_t Era = 1;
   std::vector<Watcher> Watchers;
   uint64_t Writes = 0;
   uint64_t Reads = 0;
--- a/src/store_p.h
+++ b/src/store_p.h
@@ -36,6 +36,9 @@
   Status Result = Status::Unknown;
   uint32_t Token = 0;
   Version Number; ///< Current version of the object; set if `Ok`.
+  /// Era of the store, from 1; it rises each time the store comes back from an
+  /// older copy, after which versions are given out again. 0 if not named.
+  uint64_t Era = 0;
   std::string Body;
 };
 
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -75,6 +75,9 @@
   double DuplicateShare = 0;
   Duration ExtraDelay{0}; ///< Upper limit of a random extra delay of each
                           ///< message; it reorders messages.
+  /// Keeps a copy of the store, from which it comes back later.
+  void copyStore() { this->MemoryStore.copy(); }
+  void restoreStore() { this->MemoryStore.restore(); }
   bool StoreUnavailable = false;
   double StoreLostReplyShare = 0; ///< Share of the writes that take effect but
                                   ///< whose result the host does not learn.
--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -88,6 +88,7 @@
 
 void StandinStore::sendObject(evhttp_request *Http, const std::string &Name) {
   const Object &O = this->Objects[Name];
+  addHeader(Http, "X-Era", std::to_string(this->Era));
   addHeader(Http, "X-Version", std::to_string(O.Version));
   sendText(Http, O.Version == 0 ? 404 : 200, "application/json", O.Body);
 }
@@ -116,6 +117,7 @@
   Object &O = this->Objects[Name];
   if (Raw.Headers["if-match"] != std::to_string(O.Version)) {
     ++this->Counts["conflicts"];
+    addHeader(Http, "X-Era", std::to_string(this->Era));
     sendText(Http, 412, "text/plain",
              "version is " + std::to_string(O.Version) + "\n");
     return;
@@ -135,6 +137,7 @@
     this->DelayedRequests.push_back(P);
     return;
   }
+  addHeader(Http, "X-Era", std::to_string(this->Era));
   addHeader(Http, "X-Version", std::to_string(O.Version));
   sendText(Http, 200, "application/json", "{}");
 }
@@ -191,6 +194,13 @@
       this->AddedDelay = millis(Root["slowMs"].get<int64_t>());
       this->SlowdownUntil = Now + millis(Root.value("slowForMs", 10000));
     }
+    if (Root.value("copy", false)) {
+      this->Copied = this->Objects;
+    }
+    if (Root.value("restore", false)) {
+      this->Objects = this->Copied;
+      ++this->Era;
+    }
     this->AnswerLossShare = Root.value("loseAnswers", this->AnswerLossShare);
   }
   sendText(Http, 200, "application/json", json(this->Counts).dump());
--- a/tools/standin_store.h
+++ b/tools/standin_store.h
@@ -62,6 +62,8 @@
   StoreInit Init;
   HttpServer Server;
   std::map<std::string, Object> Objects;
+  std::map<std::string, Object> Copied; ///< Copy that `/control` asked for.
+  uint64_t Era = 1; ///< Rises each time the objects come back from the copy.
   std::deque<DelayedRequest> DelayedRequests;
   std::mt19937_64 Random;
   double ReadTokens;  ///< Level of the token bucket of reads.
