Daemon: a key whose claim went back with the store does not run again

In shallotlatchd, a request ran twice: its claim was written and it ran, the store came back from a copy without that claim, and the key that was sent again at another host was claimed anew. The same happened where the reply that granted a claim came late, from the history that is lost. Both new tests failed before (aKeyWhoseClaimTheCopyLacksDoesNotRunAgain, aLateGrantOfAFormerEraRunsAtMostOnce).

The first host that sees an era writes into one object of the store, under a condition, the newest slot in which a key may have been dated then. A key of that slot or an older one that has no claim is refused as not run; claims that the copy holds are answered as before. Replies of a former era grant nothing, and buckets are read again. The price: new keys are refused for up to two slot widths after a return, since a key may be dated that far ahead.

--- a/src/key_home.cpp
+++ b/src/key_home.cpp
@@ -66,9 +66,22 @@
   O.Settles.push_back(S);
 }
 
+int64_t ClaimWriter::currentSlot() const {
+  return this->Env.WallTime.Value /
+         toMillis(this->Env.ActiveConfig->Policy.KeySlotWidth);
+}
+
 bool ClaimWriter::tooNew(int64_t Slot) const {
-  int64_t Width = toMillis(this->Env.ActiveConfig->Policy.KeySlotWidth);
-  return Slot > this->Env.WallTime.Value / Width + MaxSlotsAhead;
+  return Slot > this->currentSlot() + MaxSlotsAhead;
+}
+
+// What the objects held in the former era is read again.
+void ClaimWriter::recordEra(uint64_t Era) {
+  if (this->Lost.recordEra(Era)) {
+    for (auto &Item : this->Objects) {
+      Item.second.Loaded = false;
+    }
+  }
 }
 
 void ClaimWriter::reply(HostId From, const Claim &C, ClaimResult Result,
@@ -133,7 +146,9 @@
     this->reply(P.From, C, ClaimResult::TooNew, nullptr);
     return false;
   }
-  if (Slot < Next.Slot) {
+  bool Unknown = Slot != Next.Slot || Next.Claims.count(C.Key) == 0;
+  if (Slot < Next.Slot ||
+      (Unknown && this->Lost.mayHaveBeenClaimed(Slot, this->currentSlot()))) {
     this->reply(P.From, C, ClaimResult::Expired, nullptr);
     return false;
   }
@@ -219,16 +234,27 @@
 }
 
 bool ClaimWriter::onStoreReply(const StoreReply &Reply) {
+  if (Reply.Token == LostClaims::ReadToken ||
+      Reply.Token == LostClaims::WriteToken) {
+    this->Lost.onReply(Reply);
+    return true;
+  }
   auto It = this->NameByToken.find(Reply.Token);
   if (It == this->NameByToken.end()) {
     return false;
   }
   Object &O = this->Objects[It->second];
   O.CallInFlight = false;
+  bool OfFormerEra = Reply.Era < this->Lost.era();
   if (O.Writing) {
     O.Writing = false;
-    this->onWritten(O, Reply);
-  } else {
+    StoreReply Written = Reply;
+    if (OfFormerEra) {
+      // The write took effect in a history that is lost.
+      Written.Result = StoreReply::Status::Unknown;
+    }
+    this->onWritten(O, Written);
+  } else if (!OfFormerEra) {
     this->onLoaded(O, Reply);
   }
   return true;
@@ -275,6 +301,13 @@
 }
 
 void ClaimWriter::tick() {
+  if (this->Env.ActiveConfig && !this->Lost.known()) {
+    std::optional<StoreRequest> Call =
+        this->Lost.nextCall(this->currentSlot() + MaxSlotsAhead);
+    if (Call) {
+      this->Queue.push(std::move(*Call));
+    }
+  }
   for (auto It = this->Objects.begin(); It != this->Objects.end();) {
     Object &O = It->second;
     O.Claims.erase(std::remove_if(O.Claims.begin(), O.Claims.end(),
@@ -284,7 +317,8 @@
                                   }),
                    O.Claims.end());
     bool HasWork = !O.Claims.empty() || !O.Settles.empty();
-    if (HasWork && !O.CallInFlight && this->Env.Now >= O.FlushAt) {
+    if (HasWork && !O.CallInFlight && this->Lost.known() &&
+        this->Env.Now >= O.FlushAt) {
       this->flush(O);
     }
     bool Idle = !HasWork && !O.CallInFlight &&
--- a/src/key_home_p.h
+++ b/src/key_home_p.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "key_bucket_p.h"
+#include "lost_claims_p.h"
 #include "membership_p.h"
 #include "store_queue_p.h"
 
@@ -32,6 +33,8 @@
 
   void onClaim(HostId From, const Claim &C);
   void onSettle(const ClaimCompletion &S);
+  /// Records the era that a reply of the store named.
+  void recordEra(uint64_t Era);
   /// Handles the reply to a call of this writer; returns false if the token is
   /// not one of this writer's.
   bool onStoreReply(const StoreReply &Reply);
@@ -76,10 +79,12 @@
   void stageSettles(const Object &O, KeyBucket &Next) const;
   void onLoaded(Object &O, const StoreReply &Reply);
   void onWritten(Object &O, const StoreReply &Reply);
+  int64_t currentSlot() const;
   bool tooNew(int64_t Slot) const;
 
   NodeEnv &Env;
   StoreQueue &Queue;
+  LostClaims Lost;
   std::map<std::string, Object> Objects;
   std::map<uint32_t, std::string> NameByToken;
   uint32_t NextToken;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -73,6 +73,7 @@
 
 void Node::storeReply(const StoreReply &Reply) {
   this->Queue.onReply(Reply);
+  this->Keys.recordEra(Reply.Era);
   if (!this->DocumentCopies.onStoreReply(Reply)) {
     this->Keys.onStoreReply(Reply);
   }
--- a/tests/fuzz_fleet.cpp
+++ b/tests/fuzz_fleet.cpp
@@ -30,6 +30,8 @@
   StoreBack,
   StoreLosesReplies,
   StoreSlow,
+  StoreCopied,
+  StoreReturns,
   CrashTarget,
   RefuseTarget,
   Apply,
@@ -44,11 +46,12 @@
 
 const char *nameOf(ActionKind K) {
   static const char *const Names[] = {
-      "submit",       "submit keyed",  "cancel",      "advance",
-      "kill",         "start",         "pause",       "resume",
-      "cut link",     "heal links",    "lossy links", "clean links",
-      "store out",    "store back",    "store loses", "store slow",
-      "crash target", "refuse target", "apply"};
+      "submit",       "submit keyed",  "cancel",       "advance",
+      "kill",         "start",         "pause",        "resume",
+      "cut link",     "heal links",    "lossy links",  "clean links",
+      "store out",    "store back",    "store loses",  "store slow",
+      "store copied", "store returns", "crash target", "refuse target",
+      "apply"};
   return Names[static_cast<int>(K)];
 }
 
@@ -77,6 +80,8 @@
                                                 {3, K::StoreBack},
                                                 {2, K::StoreLosesReplies},
                                                 {1, K::StoreSlow},
+                                                {2, K::StoreCopied},
+                                                {2, K::StoreReturns},
                                                 {2, K::CrashTarget},
                                                 {1, K::RefuseTarget},
                                                 {2, K::Apply}})),
@@ -226,6 +231,15 @@
     case ActionKind::StoreSlow:
       this->Fleet.StoreDelay = millis(3 + A.Amount / 4);
       return;
+    case ActionKind::StoreCopied:
+      this->Fleet.copyStore();
+      this->CopyTaken = true;
+      return;
+    case ActionKind::StoreReturns:
+      if (this->CopyTaken) {
+        this->Fleet.restoreStore();
+      }
+      return;
     case ActionKind::CrashTarget:
       this->Fleet.crashTarget(Targets[A.Other]);
       return;
@@ -235,6 +249,7 @@
   }
 
   FleetFake Fleet;
+  bool CopyTaken = false;
   int64_t FirstDate = Fleet.wallMs();
   uint32_t Submitted = 0;
   uint32_t Revision = 0;
--- a/tests/test_daemon_returns.cpp
+++ b/tests/test_daemon_returns.cpp
@@ -24,6 +24,14 @@
       }
     }
   }
+  FakeRequest keyedRequest(uint32_t Number) {
+    FakeRequest R;
+    R.Kind = "post";
+    R.Customer = "small";
+    R.Key = uuid7(F->wallMs(), Number);
+    R.Body = "posting";
+    return R;
+  }
   /// Checks that every host has the configuration that `testConfig` gives.
   void checkInForce(uint32_t Revision) {
     nlohmann::json Expected = nlohmann::json::parse(testConfig(Revision));
@@ -96,3 +104,76 @@
   checkInForce(6);
   applyAll(7, 9);
 }
+
+// The claim was in the store when the request ran, and the copy lacks it.
+TEST(DaemonReturns, aKeyWhoseClaimTheCopyLacksDoesNotRunAgain) {
+  open();
+  F->copyStore();
+  FakeRequest R = keyedRequest(1);
+  size_t First = F->submit(0, R);
+  F->settle(seconds(5));
+  LONGS_EQUAL(1, F->runsOf(First));
+  F->kill(0);
+  F->restoreStore();
+  F->advance(seconds(5));
+  size_t Resent = F->submit(3, R);
+  F->settle(seconds(5));
+  LONGS_EQUAL(0, F->runsOf(Resent));
+  STRCMP_EQUAL(name(Outcome::NotRun), name(F->verdict(Resent)->Result));
+}
+
+TEST(DaemonReturns, aClaimThatTheCopyHoldsIsStillAnswered) {
+  open();
+  FakeRequest R = keyedRequest(1);
+  size_t First = F->submit(0, R);
+  F->settle(seconds(5));
+  LONGS_EQUAL(1, F->runsOf(First));
+  F->copyStore();
+  F->restoreStore();
+  F->advance(seconds(1));
+  size_t Resent = F->submit(3, R);
+  F->settle(seconds(5));
+  LONGS_EQUAL(0, F->runsOf(Resent));
+  STRCMP_EQUAL(name(Outcome::Completed), name(F->verdict(Resent)->Result));
+}
+
+// A key that is dated after all that may have been claimed before runs again.
+TEST(DaemonReturns, laterKeysRunAgainAfterAReturn) {
+  open();
+  F->copyStore();
+  F->restoreStore();
+  F->advance(seconds(25));
+  for (uint32_t N = 0; N < 6; ++N) {
+    size_t S = F->submit(N % 4, keyedRequest(N));
+    F->settle(seconds(5));
+    LONGS_EQUAL(1, F->runsOf(S));
+  }
+  // The same holds at a host that starts later.
+  F->kill(1);
+  F->advance(seconds(1));
+  F->start(1);
+  F->advance(seconds(4));
+  size_t S = F->submit(1, keyedRequest(9));
+  F->settle(seconds(5));
+  LONGS_EQUAL(1, F->runsOf(S));
+}
+
+// The write took effect in the history that is lost, and its reply comes late.
+TEST(DaemonReturns, aLateGrantOfAFormerEraRunsAtMostOnce) {
+  for (int64_t At = 0; At <= 60; At += 5) {
+    open();
+    F->copyStore();
+    FakeRequest R = keyedRequest(1);
+    std::vector<size_t> Submitted = {F->submit(0, R), F->submit(2, R)};
+    F->advance(millis(At));
+    F->restoreStore();
+    F->advance(seconds(2));
+    Submitted.push_back(F->submit(3, R));
+    F->settle(seconds(8));
+    uint32_t Runs = 0;
+    for (size_t S : Submitted) {
+      Runs += F->runsOf(S);
+    }
+    CHECK(Runs <= 1);
+  }
+}
