--- a/src/directory_objects.cpp
+++ b/src/directory_objects.cpp
@@ -73,7 +73,7 @@
     const TargetEntry &T = *Object.Target;
     Text = T.At.text() + " " + T.Domain + " " + std::to_string(T.Slots) + " " +
            std::to_string(T.Leaving) + " " + std::to_string(T.StartedAtMs) +
-           " " + std::to_string(T.Service.Value);
+           " " + std::to_string(T.Service.Value) + " " + T.Software;
   } else if (Object.Host) {
     const FleetHost &H = *Object.Host;
     Text = H.At.text() + " " + H.Domain + " " + std::to_string(H.Run) + " " +
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -317,6 +317,7 @@
                                  {"at", Target.At.text()},
                                  {"domain", Target.Domain},
                                  {"slots", Target.Slots},
+                                 {"software", Target.Software},
                                  {"leaving", Target.Leaving}});
     this->Relay->setTarget(Target);
   }
--- a/src/lost_claims.cpp
+++ b/src/lost_claims.cpp
@@ -26,8 +26,7 @@
 }
 
 bool LostClaims::mayHaveBeenClaimed(int64_t Slot, int64_t CurrentSlot) const {
-  return this->Era > 1 &&
-         (Slot == 0 ? CurrentSlot : Slot) <= this->LostSlot;
+  return this->Era > 1 && (Slot == 0 ? CurrentSlot : Slot) <= this->LostSlot;
 }
 
 std::optional<StoreRequest> LostClaims::nextCall(int64_t NewestSlot) {
@@ -77,8 +76,7 @@
   if (!Readable) {
     return; // An object that cannot be parsed is never overwritten.
   }
-  this->LostSlot =
-      std::max(this->LostSlot, Root["lostSlot"].get<int64_t>());
+  this->LostSlot = std::max(this->LostSlot, Root["lostSlot"].get<int64_t>());
   if (Root["era"].get<uint64_t>() == this->Era) {
     this->KnownEra = this->Era;
   } else {
--- a/src/lost_claims_p.h
+++ b/src/lost_claims_p.h
@@ -38,9 +38,9 @@
   uint64_t KnownEra = 0; ///< Era for which `LostSlot` holds.
   int64_t LostSlot = 0;
   bool CallInFlight = false;
-  bool Write = false;        ///< The next call writes the object.
-  Version Expected;          ///< Version of the object that was read.
-  int64_t WrittenSlot = 0;   ///< Slot in the write that is in flight.
+  bool Write = false;      ///< The next call writes the object.
+  Version Expected;        ///< Version of the object that was read.
+  int64_t WrittenSlot = 0; ///< Slot in the write that is in flight.
 };
 
 } // namespace shallotlatch
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -229,6 +229,9 @@
   R.RequestId = RequestIdField == nullptr ? "" : *RequestIdField;
   const std::string *LastEventIdField = R.Request.Head.find("last-event-id");
   R.LastEventId = LastEventIdField == nullptr ? "" : *LastEventIdField;
+  const std::string *ResumesField =
+      R.Request.Head.find(this->Init.Headers.Resumes);
+  R.Resumes = ResumesField == nullptr ? "" : *ResumesField;
   this->Requests[R.Id] = std::move(Created);
   this->RunByExchange[R.Request.Exchange] = R.Id;
   ++this->Counts.Received;
@@ -338,6 +341,9 @@
   logEvent("placed",
            {{"id", R.RequestId},
             {"target", P.Target.Instance},
+            {"software", P.Target.Software},
+            {"after-event", R.LastEventId},
+            {"resumes", R.Resumes},
             {"running", P.Running},
             {"prompt-tokens", R.PromptTokens},
             {"predicted-ms", toMillis(P.Predicted)},
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -25,6 +25,8 @@
 /// are part of the interface to callers and targets.
 struct RelayHeaders {
   std::string RequestId;
+  /// Names the attempt that brought the first event of a stream that goes on.
+  std::string Resumes;
   std::string DeadlineMs;     ///< Time left to the deadline, in whole ms.
   std::string Customer;       ///< To targets: name of the customer.
   std::string ExpectInstance; ///< To targets: any other instance must refuse.
@@ -186,6 +188,9 @@
     std::vector<HttpField> Fields;
     std::string Body;        ///< Whole body, or a stream's incomplete event.
     std::string LastEventId; ///< Id of the last event forwarded.
+    /// Id of the caller's attempt that brought the first event of the stream
+    /// that this one goes on with; empty if it begins one.
+    std::string Resumes;
     uint32_t EventCount = 0;
   };
   struct ServiceState {
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -114,6 +114,7 @@
   bool Leaving = false;    ///< The target is draining and takes no new request.
   int64_t StartedAtMs = 0; ///< Wall time of its start in ms, by its own clock.
   uint64_t Sequence = 0;   ///< Rises with what the run writes to its entry.
+  std::string Software;    ///< Version of its software; empty if not named.
 
   /// Hash that differs between two process runs with the same instance name.
   uint64_t identity() const {
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -200,6 +200,7 @@
   Init.MaxConfigAgeForKeys = MaxConfigAge;
   Init.MaxFreshConfigAge = MaxConfigAge;
   Init.Headers.RequestId = "X-Id";
+  Init.Headers.Resumes = "X-Resumes";
   Init.Headers.DeadlineMs = "X-Deadline";
   Init.Headers.Customer = "X-Customer";
   Init.Headers.ExpectInstance = "X-Expect";
