--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -230,10 +230,13 @@
   event_base_free(this->Base);
 }
 
-ScriptedTarget &RelayHarness::target(const std::string &Instance) {
+ScriptedTarget &RelayHarness::target(const std::string &Instance,
+                                     const std::string &Software) {
   this->Targets.push_back(
       std::make_unique<ScriptedTarget>(this->Base, Instance));
-  this->Relay->setTarget(this->Targets.back()->entry());
+  TargetEntry Entry = this->Targets.back()->entry();
+  Entry.Software = Software;
+  this->Relay->setTarget(Entry);
   return *this->Targets.back();
 }
 
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -92,8 +92,10 @@
   RelayHarness(const RelayHarness &) = delete;
   RelayHarness &operator=(const RelayHarness &) = delete;
 
-  /// Starts a target and adds it to the relay.
-  ScriptedTarget &target(const std::string &Instance);
+  /// Starts a target and adds it to the relay. \p Software: version of the
+  /// target's software.
+  ScriptedTarget &target(const std::string &Instance,
+                         const std::string &Software = "v1");
   /// Opens a connection to the relay; returns the caller's index.
   size_t connect();
   size_t connect(const Address &To);
--- /dev/null
+++ b/tests/test_stream_versions.cpp
@@ -0,0 +1,78 @@
+// Tests of streams that go on while targets of several software versions serve:
+// only the version that began a stream may go on with it.
+#include "relay_harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace shallotlatch;
+using Action = TargetStep::Action;
+
+TEST_GROUP(StreamVersions) {
+  std::unique_ptr<RelayHarness> H = std::make_unique<RelayHarness>();
+  static bool contains(const std::string &Text, const std::string &Part) {
+    return Text.find(Part) != std::string::npos;
+  }
+  /// Begins a stream and returns its caller once it has the first event.
+  size_t begin(const std::string &Id, ScriptedTarget &At) {
+    At.Steps = {
+        {streamAnswerHead() + streamEventChunk(1), Action::Hold, false}};
+    size_t Caller = H->connect();
+    H->send(Caller,
+            "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                "\r\nX-Deadline: 20000\r\nAuthorization: Token good\r\n"
+                "Content-Length: 0\r\n\r\n");
+    CHECK(
+        H->runUntil([&] { return contains(H->received(Caller), "data: e1"); }));
+    At.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                 Action::Keep, false}};
+    return Caller;
+  }
+  std::string goOn(const std::string &Id, const std::string &Began) {
+    return H->sendRequest("/resume/x", Id, "\r\n\r\n",
+                          "Last-Event-Id: 1\r\nX-Resumes: " + Began +
+                              "\r\n");
+  }
+};
+
+TEST(StreamVersions, aCallerTakesItsStreamUpOnlyAtTheVersionThatBeganIt) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  for (int I = 0; I < 12; ++I) {
+    H->close(begin("a" + std::to_string(I), Old));
+  }
+  // The target that began them is busier than the other one.
+  begin("c1", Old);
+  begin("c2", Old);
+  begin("c3", Old);
+  ScriptedTarget &New = H->target("i-2", "v2");
+  New.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                Action::Keep, false}};
+  size_t Begun = Old.Requests.size();
+  for (int I = 0; I < 12; ++I) {
+    std::string Answer =
+        goOn("b" + std::to_string(I), "a" + std::to_string(I));
+    CHECK(contains(Answer, " 200 OK"));
+  }
+  CHECK_EQUAL(0, New.Requests.size());
+  CHECK_EQUAL(Begun + 12, Old.Requests.size());
+}
+
+TEST(StreamVersions, aBrokenAnswerGoesOnOnlyAtItsVersion) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  Old.Steps = {{streamAnswerHead() + streamEventChunk(1) +
+                    "8\r\nid: 3\nda\r\n",
+                Action::Reset, false}};
+  size_t Caller = H->connect();
+  H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                  "X-Deadline: 20000\r\nAuthorization: Token good\r\n"
+                  "Content-Length: 0\r\n\r\n");
+  CHECK(H->runUntil([&] { return Old.Requests.size() == 1; }));
+  ScriptedTarget &New = H->target("i-2", "v2");
+  New.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                Action::Keep, false}};
+  CHECK(H->runUntil([&] {
+    return H->closed(Caller) ||
+           contains(H->received(Caller), "0\r\n\r\n");
+  }));
+  CHECK_EQUAL(0, New.Requests.size());
+  CHECK_FALSE(contains(H->received(Caller), "0\r\n\r\n"));
+}
