--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -107,6 +107,8 @@
   leftMs @9 :UInt32;         # Time left until the caller stops waiting.
   tried @10 :List(UInt32);   # Hashes of the instances that must not be used
                              # again.
+  software @11 :UInt32;      # Hash of the version of its software that the
+                             # target must have; 0 if any.
 }
 
 struct HeldRun {             # HeldRequest: it has a target.
@@ -157,10 +159,28 @@
   refusals @6 :List(Refusal);
 }
 
+struct StreamGroup {         # Streams that one version began.
+  software @0 :UInt32;       # Hash of the version; 0 if it is not known.
+  streams @1 :List(UInt32);  # Hashes of the ids of the attempts that began them.
+}
+
+struct StreamAsk {           # Question for the version that began a stream.
+  stream @0 :UInt32;
+  service @1 :UInt32;
+}
+
+struct StreamNews {          # StreamNews: versions that began streams.
+  host @0 :UInt64;
+  notes @1 :List(StreamGroup);
+  asks @2 :List(StreamAsk);
+  answers @3 :List(StreamGroup); # To the asks of an earlier message.
+}
+
 struct Datagram {
   union {
     state @0 :FleetState;
     book @1 :PlaceBook;
     reply @2 :PlaceReply;
+    streams @3 :StreamNews;
   }
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -32,6 +32,9 @@
 CAPNP_DECLARE_SCHEMA(a491f22109f21e06);
 CAPNP_DECLARE_SCHEMA(924fa2a2642c612a);
 CAPNP_DECLARE_SCHEMA(c1e8023cdd8f1046);
+CAPNP_DECLARE_SCHEMA(bb70beb20bd7c6e7);
+CAPNP_DECLARE_SCHEMA(d3524dfc1a0e3056);
+CAPNP_DECLARE_SCHEMA(acd99c4f03d12487);
 CAPNP_DECLARE_SCHEMA(e1ba320223e05fc7);
 
 }  // namespace schemas
@@ -183,7 +186,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff2430dbef5ef505, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ff2430dbef5ef505, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -280,6 +283,51 @@
   };
 };
 
+struct StreamGroup {
+  StreamGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bb70beb20bd7c6e7, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAsk {
+  StreamAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3524dfc1a0e3056, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamNews {
+  StreamNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(acd99c4f03d12487, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -290,6 +338,7 @@
     STATE,
     BOOK,
     REPLY,
+    STREAMS,
   };
 
   struct _capnpPrivate {
@@ -1283,6 +1332,8 @@
   inline bool hasTried() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
 
+  inline  ::uint32_t getSoftware() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1349,6 +1400,9 @@
   inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
 
+  inline  ::uint32_t getSoftware();
+  inline void setSoftware( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1961,6 +2015,280 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamGroup::Reader {
+public:
+  typedef StreamGroup Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSoftware() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamGroup::Builder {
+public:
+  typedef StreamGroup Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSoftware();
+  inline void setSoftware( ::uint32_t value);
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStreams(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamGroup::Pipeline {
+public:
+  typedef StreamGroup Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAsk::Reader {
+public:
+  typedef StreamAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getStream() const;
+
+  inline  ::uint32_t getService() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamAsk::Builder {
+public:
+  typedef StreamAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getStream();
+  inline void setStream( ::uint32_t value);
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamAsk::Pipeline {
+public:
+  typedef StreamAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamNews::Reader {
+public:
+  typedef StreamNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost() const;
+
+  inline bool hasNotes() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getNotes() const;
+
+  inline bool hasAsks() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
+
+  inline bool hasAnswers() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamNews::Builder {
+public:
+  typedef StreamNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost();
+  inline void setHost( ::uint64_t value);
+
+  inline bool hasNotes();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getNotes();
+  inline void setNotes( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initNotes(unsigned int size);
+  inline void adoptNotes(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> disownNotes();
+
+  inline bool hasAsks();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Builder getAsks();
+  inline void setAsks( ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
+  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>> disownAsks();
+
+  inline bool hasAnswers();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getAnswers();
+  inline void setAnswers( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
+  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> disownAnswers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamNews::Pipeline {
+public:
+  typedef StreamNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -1991,6 +2319,10 @@
   inline bool hasReply() const;
   inline  ::shallotlatch::fleetwire::PlaceReply::Reader getReply() const;
 
+  inline bool isStreams() const;
+  inline bool hasStreams() const;
+  inline  ::shallotlatch::fleetwire::StreamNews::Reader getStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2044,6 +2376,14 @@
   inline void adoptReply(::capnp::Orphan< ::shallotlatch::fleetwire::PlaceReply>&& value);
   inline ::capnp::Orphan< ::shallotlatch::fleetwire::PlaceReply> disownReply();
 
+  inline bool isStreams();
+  inline bool hasStreams();
+  inline  ::shallotlatch::fleetwire::StreamNews::Builder getStreams();
+  inline void setStreams( ::shallotlatch::fleetwire::StreamNews::Reader value);
+  inline  ::shallotlatch::fleetwire::StreamNews::Builder initStreams();
+  inline void adoptStreams(::capnp::Orphan< ::shallotlatch::fleetwire::StreamNews>&& value);
+  inline ::capnp::Orphan< ::shallotlatch::fleetwire::StreamNews> disownStreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3170,6 +3510,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t WaitingAsk::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingAsk::Builder::getSoftware() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAsk::Builder::setSoftware( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t HeldRun::Reader::getSerial() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3648,6 +4002,202 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StreamGroup::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamGroup::Builder::getSoftware() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamGroup::Builder::setSoftware( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamGroup::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamGroup::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StreamGroup::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamGroup::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamGroup::Builder::setStreams( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StreamGroup::Builder::setStreams(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamGroup::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamGroup::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StreamGroup::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t StreamAsk::Reader::getStream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamAsk::Builder::getStream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamAsk::Builder::setStream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamAsk::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamAsk::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamAsk::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamNews::Reader::getHost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamNews::Builder::getHost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamNews::Builder::setHost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamNews::Reader::hasNotes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNews::Builder::hasNotes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader StreamNews::Reader::getNotes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::getNotes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamNews::Builder::setNotes( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::initNotes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamNews::Builder::adoptNotes(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> StreamNews::Builder::disownNotes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamNews::Reader::hasAsks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNews::Builder::hasAsks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Reader StreamNews::Reader::getAsks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::getAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamNews::Builder::setAsks( ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::initAsks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamNews::Builder::adoptAsks(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>> StreamNews::Builder::disownAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamAsk,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamNews::Reader::hasAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNews::Builder::hasAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader StreamNews::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamNews::Builder::setAnswers( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamNews::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> StreamNews::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::shallotlatch::fleetwire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3819,6 +4369,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isStreams() const {
+  return which() == Datagram::STREAMS;
+}
+inline bool Datagram::Builder::isStreams() {
+  return which() == Datagram::STREAMS;
+}
+inline bool Datagram::Reader::hasStreams() const {
+  if (which() != Datagram::STREAMS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasStreams() {
+  if (which() != Datagram::STREAMS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::shallotlatch::fleetwire::StreamNews::Reader Datagram::Reader::getStreams() const {
+  KJ_IREQUIRE((which() == Datagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::shallotlatch::fleetwire::StreamNews::Builder Datagram::Builder::getStreams() {
+  KJ_IREQUIRE((which() == Datagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setStreams( ::shallotlatch::fleetwire::StreamNews::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAMS);
+  ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::shallotlatch::fleetwire::StreamNews::Builder Datagram::Builder::initStreams() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAMS);
+  return ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptStreams(
+    ::capnp::Orphan< ::shallotlatch::fleetwire::StreamNews>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAMS);
+  ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::shallotlatch::fleetwire::StreamNews> Datagram::Builder::disownStreams() {
+  KJ_IREQUIRE((which() == Datagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::shallotlatch::fleetwire::StreamNews>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -8,6 +8,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <map>
 
 namespace shallotlatch {
 
@@ -163,6 +164,7 @@
     W.setWaitedMs(wireMillis(Ask.Waited));
     W.setSpentMs(wireMillis(Ask.SinceFirstAttempt));
     W.setLeftMs(wireMillis(Ask.TimeToDeadline));
+    W.setSoftware(Ask.Software.Value);
     unsigned Tried = wireCount(Ask.Tried.size(), UINT8_MAX);
     auto TriedList = W.initTried(Tried);
     for (unsigned K = 0; K < Tried; ++K) {
@@ -298,6 +300,7 @@
     Ask.Waited = millis(W.getWaitedMs());
     Ask.SinceFirstAttempt = millis(W.getSpentMs());
     Ask.TimeToDeadline = millis(W.getLeftMs());
+    Ask.Software.Value = W.getSoftware();
     for (uint32_t Instance : W.getTried()) {
       Ask.Tried.push_back(Instance);
     }
@@ -341,6 +344,70 @@
   return S;
 }
 
+using NotesByVersion = std::map<SoftwareId, std::vector<StreamId>>;
+
+static NotesByVersion groupNotes(const std::vector<StreamNote> &Notes) {
+  NotesByVersion Groups;
+  size_t Count = std::min(Notes.size(), MaxStreamNotes);
+  for (size_t I = 0; I < Count; ++I) {
+    Groups[Notes[I].Software].push_back(Notes[I].Stream);
+  }
+  return Groups;
+}
+
+static void writeNotes(const NotesByVersion &Groups,
+                       capnp::List<fleetwire::StreamGroup>::Builder List) {
+  unsigned I = 0;
+  for (const auto &Group : Groups) {
+    List[I].setSoftware(Group.first.Value);
+    auto Streams =
+        List[I].initStreams(static_cast<unsigned>(Group.second.size()));
+    for (unsigned K = 0; K < Streams.size(); ++K) {
+      Streams.set(K, Group.second[K].Value);
+    }
+    ++I;
+  }
+}
+
+std::string encodeStreamNews(const StreamNews &News) {
+  capnp::MallocMessageBuilder Message;
+  fleetwire::StreamNews::Builder B =
+      Message.initRoot<fleetwire::Datagram>().initStreams();
+  B.setHost(News.Host.Value);
+  NotesByVersion Notes = groupNotes(News.Notes);
+  writeNotes(Notes, B.initNotes(static_cast<unsigned>(Notes.size())));
+  NotesByVersion Answers = groupNotes(News.Answers);
+  writeNotes(Answers, B.initAnswers(static_cast<unsigned>(Answers.size())));
+  auto Asks = B.initAsks(wireCount(News.Asks.size(), MaxStreamNotes));
+  for (unsigned I = 0; I < Asks.size(); ++I) {
+    Asks[I].setStream(News.Asks[I].Stream.Value);
+    Asks[I].setService(News.Asks[I].Service.Value);
+  }
+  return packMessage(Message);
+}
+
+static std::vector<StreamNote>
+readNotes(capnp::List<fleetwire::StreamGroup>::Reader List) {
+  std::vector<StreamNote> Notes;
+  for (fleetwire::StreamGroup::Reader Group : List) {
+    for (uint32_t Stream : Group.getStreams()) {
+      Notes.push_back({StreamId{Stream}, SoftwareId{Group.getSoftware()}});
+    }
+  }
+  return Notes;
+}
+
+static StreamNews readStreamNews(fleetwire::StreamNews::Reader R) {
+  StreamNews News;
+  News.Host.Value = R.getHost();
+  News.Notes = readNotes(R.getNotes());
+  News.Answers = readNotes(R.getAnswers());
+  for (fleetwire::StreamAsk::Reader A : R.getAsks()) {
+    News.Asks.push_back({StreamId{A.getStream()}, ServiceId{A.getService()}});
+  }
+  return News;
+}
+
 bool decodeFleetMessage(std::string_view Bytes, FleetMessage &Message) {
   try {
     kj::ArrayInputStream In(kj::ArrayPtr<const kj::byte>(
@@ -359,6 +426,9 @@
     case fleetwire::Datagram::REPLY:
       Message = readReply(R.getReply());
       return true;
+    case fleetwire::Datagram::STREAMS:
+      Message = readStreamNews(R.getStreams());
+      return true;
     }
     return false; // The message is of a kind that a later release sends.
   } catch (const kj::Exception &) {
--- a/src/fleet_codec_p.h
+++ b/src/fleet_codec_p.h
@@ -6,6 +6,7 @@
 #include "crash_guard_p.h"
 #include "fleet_quota_p.h"
 #include "place_books_p.h"
+#include "stream_origins_p.h"
 
 #include <string>
 #include <string_view>
@@ -61,11 +62,13 @@
 /// run \p OwnRun, not later than \p Now. A stamp of a former run counts from
 /// another start of the clock.
 bool echoIsOwn(const HostState &State, uint64_t OwnRun, Time Now);
-using FleetMessage = std::variant<HostState, PlacementReport, PlacementReply>;
+using FleetMessage =
+    std::variant<HostState, PlacementReport, PlacementReply, StreamNews>;
 
 std::string encodeHostState(const HostState &State);
 std::string encodePlaceBook(const PlacementReport &Book);
 std::string encodePlaceReply(const PlacementReply &Reply);
+std::string encodeStreamNews(const StreamNews &News);
 /// Decodes \p Bytes into \p Message; returns false if they are not a message of
 /// one of these kinds.
 bool decodeFleetMessage(std::string_view Bytes, FleetMessage &Message);
--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -34,9 +34,8 @@
 static constexpr Duration RepeatInterval = millis(400);
 // Interval at which peers are checked for silence.
 static constexpr Duration PeerCheckInterval = millis(200);
-// A peer is silent after this time without a message, or after this many of the
-// intervals at which it is due, whichever is longer.
-static constexpr Duration MinPeerTimeout = millis(1200);
+// A peer is silent after MinPeerTimeout without a message, or after this many
+// of the intervals at which it is due, whichever is longer.
 static constexpr int MissedIntervals = 3;
 // Age of an owner's levels after which this host keeps the limits by itself.
 static constexpr Duration LevelsTimeout = millis(600);
@@ -69,6 +68,7 @@
     this->evaluatePeers(Now, Leaving);
   }
   this->sendStates(Now, Leaving);
+  this->exchangeStreams(Now);
 }
 
 void FleetExchange::onConfirmed(uint64_t ConfigVersion) {
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -15,6 +15,22 @@
 
 /// Decides when this host's state is sent and to whom, which peers are alive,
 /// and which hosts own the failure domains. Applies what peers report.
+/// Shortest time without a message after which a peer counts as silent.
+constexpr Duration MinPeerTimeout = millis(1200);
+
+/// A peer, as far as it matters for whom is told of streams.
+struct StreamPeer {
+  HostId Id;
+  bool SameDomain = false;
+  bool IsOwner = false; ///< Owns the failure domain.
+  bool Heard = false;   ///< Was heard lately.
+  bool PlacesRequests = false;
+};
+/// Returns the peers that are told of a host's streams.
+std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers);
+/// Returns the peers that are asked for a stream that another host began.
+std::vector<HostId> streamHostsToAsk(const std::vector<StreamPeer> &Peers);
+
 class FleetExchange : public FleetLinkEvents {
 public:
   FleetExchange(event_base *Base, const FleetHost &Self, RequestRelay &Relay,
@@ -30,6 +46,7 @@
   void onState(const HostState &State) override;
   void onBook(const PlacementReport &Book) override;
   void onReply(const PlacementReply &Reply) override;
+  void onStreamNews(const StreamNews &News) override;
 
 private:
   using PeerFilter = std::function<bool(const FleetPeer &)>;
@@ -51,6 +68,9 @@
   /// Sets the hosts that share the limits which targets name.
   void shareLimits();
   void removeSilentPeers(Time Now);
+  std::vector<StreamPeer> streamPeers(Time Now) const;
+  /// Tells and asks peers for versions that began streams.
+  void exchangeStreams(Time Now);
   /// Merges the counts that another owner passed on.
   void mergeRelayed(const HostState &State, Time Now);
 
@@ -84,6 +104,7 @@
   Time NextPlacingSend;
   Time NextSearchSend;
   Time NextRepeat;
+  Time NextStreamNotes;
   std::string LastSentUse; ///< Content of the last state sent, to compare.
 };
 
--- a/src/fleet_link.cpp
+++ b/src/fleet_link.cpp
@@ -122,6 +122,14 @@
   }
 }
 
+void FleetLink::post(HostId To, StreamNews &News) {
+  auto It = this->Peers.find(To);
+  if (It != this->Peers.end()) {
+    News.Host = hostId(this->Self.Name);
+    this->sendTo(It->second.Host.At, encodeStreamNews(News));
+  }
+}
+
 void FleetLink::receive(const HostState &State) {
   auto It = this->Peers.find(State.Host);
   if (It == this->Peers.end()) {
@@ -179,6 +187,10 @@
       if (Reply->HolderRun == L.Self.Run) {
         L.Events.onReply(*Reply);
       }
+    } else if (const StreamNews *News = std::get_if<StreamNews>(&Message)) {
+      if (L.Peers.count(News->Host) != 0) {
+        L.Events.onStreamNews(*News);
+      }
     }
   }
 }
--- a/src/fleet_link_p.h
+++ b/src/fleet_link_p.h
@@ -57,6 +57,7 @@
   virtual void onState(const HostState &State) = 0;
   virtual void onBook(const PlacementReport &Book) = 0;
   virtual void onReply(const PlacementReply &Reply) = 0;
+  virtual void onStreamNews(const StreamNews &News) = 0;
 };
 
 /// Socket for the datagrams between this host and its peers.
@@ -82,6 +83,8 @@
   // Implementation of PlacementTransport.
   void post(HostId To, PlacementReport &Book) override;
   void post(HostId To, PlacementReply &Reply) override;
+  /// Sends \p News, of which it sets the sender.
+  void post(HostId To, StreamNews &News);
   const std::map<HostId, FleetPeer> &peers() const { return this->Peers; }
   FleetLinkStats stats() const { return this->Counts; }
 
--- /dev/null
+++ b/src/fleet_streams.cpp
@@ -0,0 +1,113 @@
+// Which peers are told of streams and asked for them.
+#include "fleet_exchange_p.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+// Interval at which peers are told of new streams.
+static constexpr Duration StreamNoteInterval = millis(200);
+// Numbers of hosts that are told: in the own failure domain beside the owner,
+// and in other domains, so that a domain's loss leaves some.
+static constexpr size_t DomainKeepers = 2;
+static constexpr size_t RemoteKeepers = 2;
+// Number of hosts of the own domain that are asked. It exceeds the number of
+// keepers, since hosts may differ in whom they hear.
+static constexpr size_t DomainAsked = 5;
+
+std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers) {
+  std::vector<StreamPeer> Ranked = Peers;
+  std::sort(Ranked.begin(), Ranked.end(),
+            [](const StreamPeer &A, const StreamPeer &B) {
+              return hashPair(A.Id.Value, 0) < hashPair(B.Id.Value, 0);
+            });
+  std::vector<HostId> Keepers;
+  size_t InDomain = 0;
+  size_t Remote = 0;
+  for (const StreamPeer &P : Ranked) {
+    bool Kept = P.IsOwner;
+    if (P.SameDomain && P.Heard && !P.IsOwner) {
+      Kept = ++InDomain <= DomainKeepers;
+    } else if (!P.SameDomain && P.PlacesRequests) {
+      Kept = ++Remote <= RemoteKeepers;
+    }
+    if (Kept) {
+      Keepers.push_back(P.Id);
+    }
+  }
+  return Keepers;
+}
+
+std::vector<HostId> streamHostsToAsk(const std::vector<StreamPeer> &Peers) {
+  std::vector<StreamPeer> Ranked = Peers;
+  std::sort(Ranked.begin(), Ranked.end(),
+            [](const StreamPeer &A, const StreamPeer &B) {
+              return hashPair(A.Id.Value, 0) < hashPair(B.Id.Value, 0);
+            });
+  std::vector<HostId> Asked;
+  size_t InDomain = 0;
+  for (const StreamPeer &P : Ranked) {
+    bool IsAsked = P.IsOwner || (!P.SameDomain && P.PlacesRequests);
+    if (P.SameDomain && P.Heard && !P.IsOwner) {
+      IsAsked = ++InDomain <= DomainAsked;
+    }
+    if (IsAsked) {
+      Asked.push_back(P.Id);
+    }
+  }
+  return Asked;
+}
+
+std::vector<StreamPeer> FleetExchange::streamPeers(Time Now) const {
+  std::vector<StreamPeer> Peers;
+  for (const auto &Item : this->Link.peers()) {
+    const FleetPeer &P = Item.second;
+    StreamPeer Peer;
+    Peer.Id = P.Id;
+    Peer.SameDomain = P.SameDomain;
+    Peer.IsOwner = P.Id == this->Owner;
+    Peer.Heard = Now - P.LastHeard < MinPeerTimeout;
+    Peer.PlacesRequests = P.PlacesRequests;
+    Peers.push_back(Peer);
+  }
+  return Peers;
+}
+
+void FleetExchange::exchangeStreams(Time Now) {
+  if (this->Relay.hasStreamAsks()) {
+    std::vector<HostId> Asked = streamHostsToAsk(this->streamPeers(Now));
+    std::vector<StreamAsk> Asks =
+        this->Relay.takeStreamAsks(static_cast<uint32_t>(Asked.size()));
+    for (size_t First = 0; First < Asks.size(); First += MaxStreamNotes) {
+      StreamNews News;
+      size_t Last = std::min(Asks.size(), First + MaxStreamNotes);
+      News.Asks.assign(Asks.begin() + static_cast<ptrdiff_t>(First),
+                       Asks.begin() + static_cast<ptrdiff_t>(Last));
+      for (HostId Host : Asked) {
+        this->Link.post(Host, News);
+      }
+    }
+  }
+  if (Now < this->NextStreamNotes) {
+    return;
+  }
+  this->NextStreamNotes = Now + StreamNoteInterval;
+  StreamNews News;
+  News.Notes = this->Relay.takeStreamNotes();
+  if (News.Notes.empty()) {
+    return;
+  }
+  for (HostId Host : streamKeepers(this->streamPeers(Now))) {
+    this->Link.post(Host, News);
+  }
+}
+
+void FleetExchange::onStreamNews(const StreamNews &News) {
+  StreamNews Reply;
+  Reply.Answers = this->Relay.receive(News);
+  if (!Reply.Answers.empty()) {
+    this->Link.post(News.Host, Reply);
+  }
+}
+
+} // namespace shallotlatch
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -201,6 +201,8 @@
     M.setGauge("crash_suspects", static_cast<double>(Crashes.suspectCount()));
     M.setGauge("quarantined", static_cast<double>(Crashes.quarantineCount(
                                   ProcessClock::now())));
+    M.setGauge("streams_known",
+               static_cast<double>(this->Relay->knownStreams()));
     M.setGauge("limited_targets",
                static_cast<double>(this->Relay->limitedTargets()));
     PooledHttpClientStats TargetClient = this->Relay->targetClientStats();
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -31,6 +31,11 @@
                   .Name("shallotlatch_repeats_total")
                   .Help("Second attempts wanted, by whether they were allowed")
                   .Register(Registry)),
+      Resumptions(prometheus::BuildCounter()
+                      .Name("shallotlatch_resumptions_total")
+                      .Help("Requests that go on with a stream, by how the "
+                            "version that began it was found")
+                      .Register(Registry)),
       QuotaDecisions(
           prometheus::BuildCounter()
               .Name("shallotlatch_quota_total")
@@ -105,6 +110,10 @@
   this->Retries.Add({{"allowed", Allowed ? "yes" : "no"}}).Increment();
 }
 
+void GatewayMetrics::recordResumption(const char *How) {
+  this->Resumptions.Add({{"version", How}}).Increment();
+}
+
 void GatewayMetrics::recordQuotaDecision(bool Admitted) {
   this->QuotaDecisions.Add({{"admitted", Admitted ? "yes" : "no"}}).Increment();
 }
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -38,6 +38,8 @@
   void recordWait(RouteKind Kind, Duration Wait);
   /// Counts one wanted second attempt, by whether the budget allowed it.
   void recordRetry(bool Allowed);
+  /// \p How: how the version that began a stream was found.
+  void recordResumption(const char *How);
   /// Counts one request, by whether its customer's quota admitted it.
   void recordQuotaDecision(bool Admitted);
   /// Counts one request that was refused because its content crashes targets.
@@ -55,6 +57,7 @@
   prometheus::Registry Registry;
   Counters &Requests;
   Counters &Retries;
+  Counters &Resumptions;
   Counters &QuotaDecisions;
   prometheus::Counter &Quarantined;
   Histograms &RequestDurations;
--- a/src/place_books_p.h
+++ b/src/place_books_p.h
@@ -35,6 +35,8 @@
   Duration Waited{0};    ///< Time that the request has waited at its holder.
   Duration SinceFirstAttempt{0}; ///< Time since the caller's first attempt.
   Duration TimeToDeadline{0};    ///< Time left until the caller stops waiting.
+  /// Version of the software that the target must have; invalid if any.
+  SoftwareId Software;
   /// Hashes of the instances that must not be used again.
   std::vector<uint32_t> Tried;
 };
--- a/src/place_holder.cpp
+++ b/src/place_holder.cpp
@@ -164,6 +164,7 @@
     W.Waited = Now - Request.Arrived;
     W.SinceFirstAttempt = Now - Request.FirstAttempt;
     W.TimeToDeadline = std::max(Duration(0), Request.Deadline - Now);
+    W.Software = Request.Software;
     for (const std::string &Instance : Request.Tried) {
       W.Tried.push_back(instanceHash(Instance));
     }
--- a/src/place_owner.cpp
+++ b/src/place_owner.cpp
@@ -73,6 +73,7 @@
   A.RefusedBefore = Request.RefusedBefore;
   A.Deadline = Now + Request.TimeToDeadline;
   A.Repeatable = Request.Repeatable;
+  A.Software = Request.Software;
   A.Tried = this->Scheduler.instances(Request.Tried);
   RequestEntry E;
   E.Id = A.Id;
--- a/src/place_pool.cpp
+++ b/src/place_pool.cpp
@@ -77,6 +77,8 @@
     return "overload";
   case RefusalReason::QueueFull:
     return "queue-full";
+  case RefusalReason::NoVersion:
+    return "no-version";
   }
   return "unknown";
 }
@@ -203,6 +205,18 @@
   }
 }
 
+bool hasSoftware(const TargetEntry &Target, SoftwareId Software) {
+  return !Software.isValid() || softwareId(Target.Software) == Software;
+}
+
+bool ServiceScheduler::serves(SoftwareId Software) const {
+  return std::any_of(this->Targets.begin(), this->Targets.end(),
+                     [Software](const auto &Item) {
+                       return !Item.second.Entry.Leaving &&
+                              hasSoftware(Item.second.Entry, Software);
+                     });
+}
+
 // Hosts with the same knowledge would all choose the best target before they
 // learn of each other's choices, so the target is drawn at random from those
 // that are nearly as good.
@@ -212,7 +226,7 @@
   double Best = 0;
   for (auto &Item : this->Targets) {
     Target &T = Item.second;
-    if (!this->usable(T, Now) ||
+    if (!this->usable(T, Now) || !hasSoftware(T.Entry, Request.Software) ||
         std::find(Request.Tried.begin(), Request.Tried.end(), Item.first) !=
             Request.Tried.end()) {
       continue;
@@ -278,12 +292,13 @@
       Removed.push_back(Item.first);
       continue;
     }
-    // Requests that have not tried any target all have the same targets to
+    // Requests that may use every target all have the same targets to
     // choose from, so once one of them finds none the others need not look.
     Choice Best;
-    if (MayFit || !Request.Tried.empty()) {
+    bool IsBound = !Request.Tried.empty() || Request.Software.isValid();
+    if (MayFit || IsBound) {
       Best = this->choose(Request, Now);
-      MayFit = Best.Selected != nullptr || !Request.Tried.empty();
+      MayFit = Best.Selected != nullptr || (IsBound && MayFit);
     }
     if (Best.Selected != nullptr) {
       this->occupy(*Best.Selected, Request.Id, Request.PromptTokens, Now);
@@ -304,6 +319,9 @@
     if (this->Targets.empty()) {
       Refused.push_back({Request.Id, RefusalReason::NoTarget, millis(500)});
       Removed.push_back(Item.first);
+    } else if (!this->serves(Request.Software)) {
+      Refused.push_back({Request.Id, RefusalReason::NoVersion, Duration(0)});
+      Removed.push_back(Item.first);
     } else if (this->Engine && OnTime) {
       continue;
     } else if ((this->Engine && Returns) ||
@@ -352,9 +370,10 @@
 }
 
 const TargetEntry *ServiceScheduler::adopt(PlacementId Id, uint32_t Target,
-                                           double PromptTokens, Time Now) {
+                                           double PromptTokens, Time Now,
+                                           SoftwareId Software) {
   auto It = this->ByHash.find(Target);
-  if (It == this->ByHash.end()) {
+  if (It == this->ByHash.end() || !hasSoftware(It->second->Entry, Software)) {
     return nullptr;
   }
   this->occupy(*It->second, Id, PromptTokens, Now);
--- a/src/place_pool_p.h
+++ b/src/place_pool_p.h
@@ -33,6 +33,8 @@
   bool RefusedBefore = false; ///< The caller was refused before.
   Time Deadline;              ///< Time after which the caller no longer waits.
   bool Repeatable = false;    ///< The request may run more than once.
+  /// Version of the software that the target must have; invalid if any.
+  SoftwareId Software;
   /// Instances that must not be used again.
   std::vector<std::string> Tried;
 };
@@ -53,8 +55,9 @@
   NoTarget,  ///< The service has no target.
   Overload,  ///< The objective can no longer be met.
   QueueFull, ///< Too many requests wait.
+  NoVersion, ///< No target has the version that began the stream.
 };
-constexpr uint8_t RefusalReasonCount = 4;
+constexpr uint8_t RefusalReasonCount = 5;
 /// Name of a reason in logs and answers.
 const char *name(RefusalReason Why);
 
@@ -88,6 +91,9 @@
 
 /// Hash that stands for an instance in messages between hosts.
 uint32_t instanceHash(const std::string &Instance);
+/// Returns whether a target has the version \p Software, or any if it is
+/// invalid.
+bool hasSoftware(const TargetEntry &Target, SoftwareId Software);
 
 /// Numbers of targets and requests of one service.
 struct ServiceSchedulerStats {
@@ -124,9 +130,9 @@
               std::vector<PlacementRefusal> &Refused);
   /// Counts a request that another host placed on the target with the hash
   /// \p Target. Returns the target's entry, or nullptr if the target is not
-  /// known.
+  /// known or is not of the version \p Software.
   const TargetEntry *adopt(PlacementId Id, uint32_t Target, double PromptTokens,
-                           Time Now);
+                           Time Now, SoftwareId Software = {});
   /// Records that the first event of a placed request has arrived.
   void started(PlacementId Id, Time Now);
   /// Records that a connection to the target of a placed request was
@@ -233,6 +239,8 @@
   bool isAssignedHere(const TargetEntry &Entry) const;
   /// Whether the target may get one more request now.
   bool usable(const Target &T, Time Now) const;
+  /// Returns whether a target of this version takes new requests.
+  bool serves(SoftwareId Software) const;
   /// Estimates cost and time of a request on a target.
   Choice estimate(Target &T, const PlacementRequest &Request) const;
   /// Marks a target suspect and sets the time of its next probe.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -37,7 +37,7 @@
                            const FleetDirectory &StoreView)
     : Base(Base), Init(Init), StoreView(StoreView),
       Frontend(Base, Frontend, *this), TargetClient(Base, *this),
-      Quota(Init.Slack), Crashes(Init.Crashes),
+      Quota(Init.Slack), Crashes(Init.Crashes), Origins(ProcessClock::now()),
       PlacementSendEvent(event_new(
           Base, -1, 0,
           [](evutil_socket_t, short, void *Self) {
@@ -83,6 +83,7 @@
   this->Config = std::move(Next);
   this->Frontend.setLimits(this->Config->Limits);
   this->Quota.configure(*this->Config, ProcessClock::now());
+  this->applyStreamLife();
 }
 
 bool RequestRelay::keysTrusted() const {
@@ -237,7 +238,11 @@
   ++this->Counts.Received;
   if (this->admit(R)) {
     this->service(R.Service).Budget.recordRequest(R.Request.ReceivedAt);
-    this->place(R);
+    if (goesOn(R)) {
+      this->placeOnceOriginIsKnown(R);
+    } else {
+      this->place(R);
+    }
   }
 }
 
@@ -253,6 +258,7 @@
   Placement.FirstAttempt = R.Request.ReceivedAt - R.PriorAttemptTime;
   Placement.RefusedBefore = R.PriorAttemptTime.count() > 0;
   Placement.Repeatable = R.MatchedRoute->repeatable();
+  Placement.Software = R.Software;
   Placement.Tried = R.Tried;
   this->service(R.Service).Places->enqueue(Placement, ProcessClock::now());
   this->dispatch(R.Service);
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -152,6 +152,7 @@
   Time Now = ProcessClock::now();
   if (R.FirstEventAt == Time()) {
     R.FirstEventAt = Now;
+    this->recordStream(R, Now);
   } else {
     R.LongestPause = std::max(R.LongestPause, Now - R.LastEventAt);
   }
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -145,6 +145,7 @@
 
 void RequestRelay::tick() {
   Time Now = ProcessClock::now();
+  this->tickStreams(Now);
   std::vector<PlacementId> Expired;
   for (const auto &Item : this->Requests) {
     if (Now >= Item.second->Deadline && Item.second->Placed) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -10,6 +10,7 @@
 #include "gateway_metrics_p.h"
 #include "retry_budget_p.h"
 #include "service_places_p.h"
+#include "stream_origins_p.h"
 #include "wire_client_p.h"
 
 #include "shallotlatch/verdict.h"
@@ -130,6 +131,15 @@
     return this->TargetClient.stats();
   }
   bool idle() const { return this->Requests.empty(); }
+  bool hasStreamAsks() const { return !this->UnsentAsks.empty(); }
+  /// Takes the streams whose versions peers are to be asked for.
+  /// \p HostsToAsk: number of peers that get the question.
+  std::vector<StreamAsk> takeStreamAsks(uint32_t HostsToAsk);
+  /// Takes what peers are to keep of the streams that began here.
+  std::vector<StreamNote> takeStreamNotes();
+  /// Takes over what a peer told; returns the answers to what it asked.
+  std::vector<StreamNote> receive(const StreamNews &News);
+  size_t knownStreams() const { return this->Origins.size(); }
 
   // FrontendEvents
   void onCallerRequest(FrontendRequest &&Request) override;
@@ -191,6 +201,9 @@
     /// Id of the caller's attempt that brought the first event of the stream
     /// that this one goes on with; empty if it begins one.
     std::string Resumes;
+    /// Version of the targets' software that began the stream; invalid until
+    /// its first event, or until it is known for one that goes on.
+    SoftwareId Software;
     uint32_t EventCount = 0;
   };
   struct ServiceState {
@@ -199,6 +212,26 @@
     explicit ServiceState(const RetryBudgetInit &Init) : Budget(Init) {}
   };
 
+  /// A request that waits for the version that began its stream.
+  struct OriginWaitState {
+    StreamId Stream;
+    Time Until;
+    uint32_t Unanswered = 0; ///< Peers that were asked and have not answered.
+  };
+
+  void applyStreamLife();
+  void tickStreams(Time Now);
+  static StreamId streamOf(const RelayedRequest &R);
+  /// Whether the request goes on with a stream that began before.
+  static bool goesOn(const RelayedRequest &R);
+  /// Records the version that a stream began at or goes on at.
+  void recordStream(RelayedRequest &R, Time Now);
+  void placeOnceOriginIsKnown(RelayedRequest &R);
+  void placeBySoleVersion(RelayedRequest &R);
+  /// Places the request, or refuses it if the version is not known.
+  void placeWithOrigin(RelayedRequest &R, std::optional<SoftwareId> Software,
+                       const char *How);
+  void endOriginWait(PlacementId Id);
   RelayedRequest *find(PlacementId Id);
   RelayedRequest *findByCall(OutboundCallId Call);
   ServiceState &service(ServiceId Id);
@@ -245,6 +278,10 @@
   PooledHttpClient TargetClient;
   FleetQuota Quota;
   CrashGuard Crashes;
+  StreamOrigins Origins;
+  std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
+  std::vector<StreamAsk> UnsentAsks; ///< Asks that peers have not got.
+  Time NextServingRecord;
   GatewayMetrics Metrics;
   std::shared_ptr<const RoutingConfig> Config;
   std::unordered_map<PlacementId, std::unique_ptr<RelayedRequest>> Requests;
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -36,6 +36,8 @@
   }
   this->ServiceOfTarget[Target.shortIdentity()] = Target.Service;
   this->Targets[Target.Instance] = Target;
+  this->Origins.recordServing(Target.Service, softwareId(Target.Software),
+                              ProcessClock::now());
   this->service(Target.Service)
       .Places->scheduler()
       .setTarget(this->withOwnerDeparture(Target), ProcessClock::now());
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -4,6 +4,10 @@
 
 namespace shallotlatch {
 
+SoftwareId softwareId(std::string_view Software) {
+  return SoftwareId{static_cast<uint32_t>(hash64(Software)) | 1U};
+}
+
 ServiceId serviceId(std::string_view Name) {
   uint32_t Value = static_cast<uint32_t>(hash64(Name));
   return ServiceId{Value == 0 ? 1 : Value};
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -127,6 +127,10 @@
   }
 };
 
+/// Hash of a version of targets' software; never invalid.
+using SoftwareId = Id<struct SoftwareTag, uint32_t>;
+SoftwareId softwareId(std::string_view Software);
+
 /// A host of the fleet as it registered itself.
 struct FleetHost {
   std::string Name;
--- a/src/service_places.cpp
+++ b/src/service_places.cpp
@@ -48,9 +48,10 @@
     const PlacementRequest &Request = Item.first;
     const PlacementGrant &Grant = Item.second;
     const TargetEntry *Target = this->Scheduler.adopt(
-        Request.Id, Grant.Target, Request.PromptTokens, Now);
+        Request.Id, Grant.Target, Request.PromptTokens, Now, Request.Software);
     if (Target == nullptr) {
-      // The owner granted a target that this host does not know.
+      // The owner granted a target that this host does not know, or one of
+      // another version than the request needs.
       this->Holder.ended(Request.Id, AttemptResult::Unknown);
       this->Scheduler.enqueue(Request);
       continue;
--- /dev/null
+++ b/src/stream_origins.cpp
@@ -0,0 +1,118 @@
+#include "stream_origins_p.h"
+
+#include <algorithm>
+
+namespace shallotlatch {
+
+static constexpr Duration PruneInterval = seconds(1);
+// Largest number of streams that are kept. Beyond it the new ones are dropped,
+// and cannot go on while several versions serve.
+static constexpr size_t MaxKnown = 100000;
+
+StreamId streamId(std::string_view RequestId) {
+  return StreamId{static_cast<uint32_t>(hash64(RequestId)) | 1U};
+}
+
+void StreamOrigins::recordServing(ServiceId Service, SoftwareId Software,
+                                  Time Now) {
+  this->Serving[Service][Software] = Now;
+}
+
+void StreamOrigins::recordBegun(ServiceId Service, StreamId Stream,
+                                SoftwareId Software, Time Now) {
+  if (this->Known.size() >= MaxKnown) {
+    return;
+  }
+  Entry &E = this->Known[Stream];
+  E.Software = Software;
+  E.Service = Service;
+  E.At = Now;
+  this->Unsent.push_back(Stream);
+}
+
+void StreamOrigins::merge(const std::vector<StreamNote> &Notes, Time Now) {
+  for (const StreamNote &Note : Notes) {
+    if (!Note.Software.isValid() || this->Known.size() >= MaxKnown) {
+      continue;
+    }
+    Entry &E = this->Known[Note.Stream];
+    if (!E.Software.isValid()) {
+      E.Software = Note.Software;
+      E.At = Now;
+    }
+  }
+}
+
+std::optional<SoftwareId> StreamOrigins::find(StreamId Stream) const {
+  auto It = this->Known.find(Stream);
+  return It == this->Known.end() ? std::nullopt
+                                 : std::optional(It->second.Software);
+}
+
+std::optional<SoftwareId> StreamOrigins::soleVersion(ServiceId Service,
+                                                     Time Now) const {
+  return Now - this->Start < this->Life ? std::nullopt
+                                        : this->onlyVersionSeen(Service);
+}
+
+std::optional<SoftwareId>
+StreamOrigins::onlyVersionSeen(ServiceId Service) const {
+  auto It = this->Serving.find(Service);
+  if (It == this->Serving.end() || It->second.size() != 1) {
+    return std::nullopt;
+  }
+  return It->second.begin()->first;
+}
+
+StreamNote StreamOrigins::answer(const StreamAsk &Ask, bool ViewIsFresh,
+                                 Time Now) const {
+  StreamNote Note{Ask.Stream, SoftwareId()};
+  std::optional<SoftwareId> Software = this->find(Ask.Stream);
+  if (!Software && ViewIsFresh) {
+    Software = this->soleVersion(Ask.Service, Now);
+  }
+  Note.Software = Software.value_or(SoftwareId());
+  return Note;
+}
+
+// Streams that are not needed now stay until they end: another version may begin
+// to serve meanwhile.
+std::vector<StreamNote> StreamOrigins::takeNotes(size_t Limit, Time Now) {
+  std::vector<StreamNote> Notes;
+  std::vector<StreamId> Rest;
+  for (StreamId Stream : this->Unsent) {
+    auto It = this->Known.find(Stream);
+    if (It == this->Known.end()) {
+      continue;
+    }
+    if (Notes.size() < Limit &&
+        !this->soleVersion(It->second.Service, Now).has_value()) {
+      Notes.push_back({Stream, It->second.Software});
+    } else {
+      Rest.push_back(Stream);
+    }
+  }
+  this->Unsent.swap(Rest);
+  return Notes;
+}
+
+void StreamOrigins::tick(Time Now) {
+  if (Now < this->NextPrune) {
+    return;
+  }
+  this->NextPrune = Now + PruneInterval;
+  for (auto It = this->Known.begin(); It != this->Known.end();) {
+    It = Now - It->second.At > this->Life ? this->Known.erase(It)
+                                          : std::next(It);
+  }
+  for (auto &Item : this->Serving) {
+    std::map<SoftwareId, Time> &Versions = Item.second;
+    for (auto It = Versions.begin(); It != Versions.end();) {
+      // The newest stays, so that a service without targets keeps its version.
+      bool Old = Now - It->second > this->Life && Versions.size() > 1;
+      It = Old ? Versions.erase(It) : std::next(It);
+    }
+  }
+}
+
+} // namespace shallotlatch
--- /dev/null
+++ b/tests/test_stream_origins.cpp
@@ -0,0 +1,378 @@
+// Fleets in virtual time whose hosts tell and ask each other which software
+// version began a stream, while hosts die, restart, freeze and are cut off.
+#include "fleet_codec_p.h"
+#include "fleet_exchange_p.h"
+#include "stream_origins_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace shallotlatch;
+
+namespace {
+
+const ServiceId Engines = serviceId("engines");
+
+struct StreamHost {
+  HostId Id;
+  size_t Domain = 0;
+  bool Alive = true;
+  Time Since;        ///< Start of the process.
+  Time FrozenUntil;  ///< It neither sends nor reads before.
+  Time CutUntil;     ///< It hears no other host before.
+  std::unique_ptr<StreamOrigins> Origins;
+  std::deque<std::pair<Time, StreamNews>> Inbox;
+  uint64_t BytesSent = 0;
+};
+
+struct Stream {
+  StreamId Id;
+  SoftwareId Software;
+  size_t Host = 0;
+  uint64_t Run = 0;
+  Time Ends;
+};
+
+struct PendingReturn {
+  Stream Of;
+  size_t Host = 0;
+  Time Until;
+  size_t Unanswered = 0;
+};
+
+/// Counts of a run.
+struct StreamCounts {
+  int Returned = 0; ///< Streams taken up again at hosts in touch.
+  int GoOn = 0;     ///< Those of which the version was known.
+  int Wrong = 0;    ///< Streams that would go on at another version.
+  double BytesPerHostAndSecond = 0;
+};
+
+class StreamFleet {
+public:
+  StreamFleet(size_t Domains, size_t HostsPerDomain, double StreamsPerHost,
+              uint64_t Seed)
+      : HostsPerDomain(HostsPerDomain), StreamsPerHost(StreamsPerHost),
+        Random(Seed), Now(seconds(1000)) {
+    for (size_t I = 0; I < Domains * HostsPerDomain; ++I) {
+      this->Hosts.emplace_back();
+      this->Hosts.back().Id = HostId{hash64("h" + std::to_string(I))};
+      this->Hosts.back().Domain = I / HostsPerDomain;
+      this->start(I);
+    }
+  }
+
+  StreamCounts run(Duration Length, bool Disturb) {
+    Time End = this->Now + Length;
+    while (this->Now < End) {
+      this->Now += millis(20);
+      this->beginStreams();
+      if (Disturb) {
+        this->disturb();
+      }
+      this->exchange();
+      this->settleReturns();
+    }
+    uint64_t Bytes = 0;
+    for (const StreamHost &H : this->Hosts) {
+      Bytes += H.BytesSent;
+    }
+    this->Counts.BytesPerHostAndSecond =
+        static_cast<double>(Bytes) /
+        static_cast<double>(this->Hosts.size()) / toSeconds(Length);
+    return this->Counts;
+  }
+
+private:
+  void start(size_t I) {
+    StreamHost &H = this->Hosts[I];
+    H.Alive = true;
+    H.Since = this->Now;
+    H.Inbox.clear();
+    H.Origins = std::make_unique<StreamOrigins>(this->Now);
+    H.Origins->setStreamLife(seconds(20));
+  }
+  bool chance(double PerSecond) {
+    return std::uniform_real_distribution<double>(0, 1)(this->Random) <
+           PerSecond * 0.02;
+  }
+  size_t draw(size_t Count) {
+    return std::uniform_int_distribution<size_t>(0, Count - 1)(this->Random);
+  }
+  bool runs(const StreamHost &H) const {
+    return H.Alive && this->Now >= H.FrozenUntil;
+  }
+  /// Two versions serve at any time; a third follows, and the first leaves.
+  SoftwareId drawVersion() {
+    size_t Phase = static_cast<size_t>(
+        toSeconds(this->Now - Time(seconds(1000))) / 25);
+    return softwareId("v" + std::to_string(Phase + this->draw(2)));
+  }
+
+  void beginStreams() {
+    for (size_t I = 0; I < this->Hosts.size(); ++I) {
+      StreamHost &H = this->Hosts[I];
+      if (!this->runs(H)) {
+        continue;
+      }
+      SoftwareId Software = this->drawVersion();
+      H.Origins->recordServing(Engines, Software, this->Now);
+      if (!this->chance(this->StreamsPerHost)) {
+        continue;
+      }
+      Stream S;
+      S.Id = streamId("r" + std::to_string(++this->Number));
+      S.Software = Software;
+      S.Host = I;
+      S.Run = static_cast<uint64_t>(H.Since.time_since_epoch().count());
+      S.Ends = this->Now + millis(200 + 40 * static_cast<int64_t>(
+                                             this->draw(200)));
+      H.Origins->recordBegun(Engines, S.Id, S.Software, this->Now);
+      this->Streams.push_back(S);
+    }
+  }
+
+  /// The callers of a host that dies, freezes or loses its connections return
+  /// to another host that runs, mostly of the same domain.
+  void breakStreams(size_t Host) {
+    std::vector<Stream> Left;
+    for (const Stream &S : this->Streams) {
+      if (S.Host != Host) {
+        Left.push_back(S);
+      } else if (this->Now < S.Ends) {
+        this->returnStream(S);
+      }
+    }
+    this->Streams.swap(Left);
+  }
+  void returnStream(const Stream &S) {
+    size_t Domain = this->draw(5) == 0 ? this->draw(this->Hosts.size())
+                                       : this->Hosts[S.Host].Domain *
+                                             this->HostsPerDomain;
+    Domain = this->Hosts[Domain].Domain;
+    for (int Try = 0; Try < 8; ++Try) {
+      size_t I = Try < 5 ? Domain * this->HostsPerDomain +
+                               this->draw(this->HostsPerDomain)
+                         : this->draw(this->Hosts.size());
+      if (this->runs(this->Hosts[I]) && I != S.Host) {
+        PendingReturn P;
+        P.Of = S;
+        P.Host = I;
+        P.Until = this->Now + millis(150);
+        this->ask(P);
+        return;
+      }
+    }
+  }
+
+  std::vector<StreamPeer> peersOf(size_t Self) const {
+    std::vector<StreamPeer> Peers;
+    bool Large = this->HostsPerDomain >= 4;
+    for (size_t I = 0; I < this->Hosts.size(); ++I) {
+      if (I == Self) {
+        continue;
+      }
+      const StreamHost &H = this->Hosts[I];
+      StreamPeer P;
+      P.Id = H.Id;
+      P.SameDomain = H.Domain == this->Hosts[Self].Domain;
+      // A host that is silent is noticed after 1.2 s.
+      P.Heard = H.Alive && this->Now - H.FrozenUntil > Duration(0);
+      bool IsOwner = Large && this->ownerOf(H.Domain) == I;
+      P.IsOwner = P.SameDomain && IsOwner;
+      P.PlacesRequests = Large ? IsOwner : P.Heard;
+      Peers.push_back(P);
+    }
+    return Peers;
+  }
+  size_t ownerOf(size_t Domain) const {
+    for (size_t I = Domain * this->HostsPerDomain;
+         I < (Domain + 1) * this->HostsPerDomain; ++I) {
+      if (this->runs(this->Hosts[I])) {
+        return I;
+      }
+    }
+    return this->Hosts.size();
+  }
+  void send(size_t From, HostId To, const StreamNews &News) {
+    StreamNews Sent = News;
+    Sent.Host = this->Hosts[From].Id;
+    constexpr size_t DatagramHeader = 28;
+    this->Hosts[From].BytesSent += encodeStreamNews(Sent).size() + DatagramHeader;
+    if (this->draw(50) == 0 || this->Now < this->Hosts[From].CutUntil) {
+      return;
+    }
+    for (StreamHost &H : this->Hosts) {
+      if (H.Id == To && H.Alive && this->Now >= H.CutUntil) {
+        H.Inbox.push_back({this->Now + millis(20), Sent});
+      }
+    }
+  }
+
+  void ask(PendingReturn P) {
+    StreamHost &H = this->Hosts[P.Host];
+    if (!H.Origins->find(P.Of.Id)) {
+      StreamNews News;
+      News.Asks = {{P.Of.Id, Engines}};
+      for (HostId To : streamHostsToAsk(this->peersOf(P.Host))) {
+        this->send(P.Host, To, News);
+        ++P.Unanswered;
+      }
+    } else {
+      P.Until = this->Now;
+    }
+    this->Returns.push_back(P);
+  }
+
+  void disturb() {
+    for (size_t I = 0; I < this->Hosts.size(); ++I) {
+      StreamHost &H = this->Hosts[I];
+      if (!H.Alive) {
+        if (this->chance(1)) {
+          this->start(I);
+        }
+      } else if (this->chance(0.01)) {
+        H.Alive = false;
+        this->breakStreams(I);
+      } else if (this->chance(0.005)) {
+        H.FrozenUntil = this->Now + millis(500 + 50 * static_cast<int64_t>(
+                                                       this->draw(100)));
+        this->breakStreams(I);
+      } else if (this->chance(0.005)) {
+        H.CutUntil = this->Now + millis(500 + 50 * static_cast<int64_t>(
+                                                    this->draw(100)));
+        this->breakStreams(I);
+      }
+    }
+    if (this->chance(0.05)) { // Many hosts die at once.
+      std::vector<size_t> Dead;
+      for (size_t I = 0; I < this->Hosts.size(); ++I) {
+        if (this->draw(10) < 4) {
+          this->Hosts[I].Alive = false;
+          Dead.push_back(I);
+        }
+      }
+      for (size_t I : Dead) {
+        this->breakStreams(I);
+      }
+    }
+  }
+
+  void exchange() {
+    ++this->Steps;
+    for (size_t I = 0; I < this->Hosts.size(); ++I) {
+      StreamHost &H = this->Hosts[I];
+      if (!this->runs(H)) {
+        continue;
+      }
+      while (!H.Inbox.empty() && H.Inbox.front().first <= this->Now) {
+        StreamNews News = H.Inbox.front().second;
+        H.Inbox.pop_front();
+        this->read(I, News);
+      }
+      H.Origins->tick(this->Now);
+      if (this->Steps % 10 == 0) {
+        StreamNews News;
+        News.Notes = H.Origins->takeNotes(MaxStreamNotes, this->Now);
+        if (!News.Notes.empty()) {
+          for (HostId To : streamKeepers(this->peersOf(I))) {
+            this->send(I, To, News);
+          }
+        }
+      }
+    }
+  }
+  void read(size_t I, const StreamNews &News) {
+    StreamHost &H = this->Hosts[I];
+    H.Origins->merge(News.Notes, this->Now);
+    H.Origins->merge(News.Answers, this->Now);
+    for (const StreamNote &Answer : News.Answers) {
+      for (PendingReturn &P : this->Returns) {
+        if (P.Host == I && P.Of.Id == Answer.Stream && P.Unanswered > 0) {
+          --P.Unanswered;
+        }
+      }
+    }
+    StreamNews Reply;
+    for (const StreamAsk &Ask : News.Asks) {
+      Reply.Answers.push_back(H.Origins->answer(Ask, true, this->Now));
+    }
+    if (!Reply.Answers.empty()) {
+      this->send(I, News.Host, Reply);
+    }
+  }
+
+  void settleReturns() {
+    std::vector<PendingReturn> Left;
+    for (const PendingReturn &P : this->Returns) {
+      StreamHost &H = this->Hosts[P.Host];
+      std::optional<SoftwareId> Found =
+          H.Alive ? H.Origins->find(P.Of.Id) : std::nullopt;
+      if (!Found && P.Unanswered > 0 && this->Now < P.Until && H.Alive) {
+        Left.push_back(P);
+        continue;
+      }
+      if (!Found && H.Alive) {
+        Found = H.Origins->soleVersion(Engines, this->Now);
+      }
+      this->Counts.Wrong += Found && !(*Found == P.Of.Software) ? 1 : 0;
+      bool InTouch = this->runs(H) && this->Now - H.Since > seconds(4) &&
+                     this->Now - H.FrozenUntil > seconds(4) &&
+                     this->Now - H.CutUntil > seconds(4);
+      if (InTouch) {
+        ++this->Counts.Returned;
+        this->Counts.GoOn += Found ? 1 : 0;
+      }
+    }
+    this->Returns.swap(Left);
+  }
+
+  size_t HostsPerDomain;
+  double StreamsPerHost;
+  std::mt19937_64 Random;
+  std::vector<StreamHost> Hosts;
+  std::vector<Stream> Streams;
+  std::vector<PendingReturn> Returns;
+  Time Now;
+  uint64_t Number = 0;
+  uint64_t Steps = 0;
+  StreamCounts Counts;
+};
+
+} // namespace
+
+TEST_GROUP(StreamFleets) {
+  static void play(size_t Domains, size_t HostsPerDomain, uint64_t Seed,
+                   Duration Length = seconds(60)) {
+    StreamFleet Fleet(Domains, HostsPerDomain, 9, Seed);
+    StreamCounts C = Fleet.run(Length, true);
+    std::string Run = std::to_string(Domains * HostsPerDomain) +
+                      " hosts, seed " + std::to_string(Seed);
+    CHECK_EQUAL_TEXT(0, C.Wrong, Run.c_str());
+    CHECK_TEXT(C.Returned >= 12, Run.c_str());
+    CHECK_TEXT(2 * C.GoOn > C.Returned, Run.c_str());
+  }
+};
+
+TEST(StreamFleets, sixHostsKnowWhereStreamsBegan) {
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    play(3, 2, Seed);
+  }
+}
+
+TEST(StreamFleets, seventyHostsKnowWhereStreamsBegan) {
+  play(6, 12, 1, seconds(40));
+  play(6, 12, 2, seconds(40));
+}
+
+TEST(StreamFleets, threeHundredHostsKnowWhereStreamsBegan) { play(6, 49, 1, seconds(25)); }
+
+// The rate of requests of the size in docs/CAPACITY.md, and its bound.
+TEST(StreamFleets, whatAHostSendsFitsItsBytesForControl) {
+  StreamFleet Fleet(18, 22, 36, 1);
+  StreamCounts C = Fleet.run(seconds(10), false);
+  CHECK(C.BytesPerHostAndSecond <= 4096);
+}
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -1,6 +1,7 @@
 // Tests of streams that go on while targets of several software versions serve:
 // only the version that began a stream may go on with it.
 #include "relay_harness.h"
+#include "sockets_p.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,10 +18,9 @@
     At.Steps = {
         {streamAnswerHead() + streamEventChunk(1), Action::Hold, false}};
     size_t Caller = H->connect();
-    H->send(Caller,
-            "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
-                "\r\nX-Deadline: 20000\r\nAuthorization: Token good\r\n"
-                "Content-Length: 0\r\n\r\n");
+    H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good\r\n"
+                        "Content-Length: 0\r\n\r\n");
     CHECK(
         H->runUntil([&] { return contains(H->received(Caller), "data: e1"); }));
     At.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
@@ -29,8 +29,7 @@
   }
   std::string goOn(const std::string &Id, const std::string &Began) {
     return H->sendRequest("/resume/x", Id, "\r\n\r\n",
-                          "Last-Event-Id: 1\r\nX-Resumes: " + Began +
-                              "\r\n");
+                          "Last-Event-Id: 1\r\nX-Resumes: " + Began + "\r\n");
   }
 };
 
@@ -48,8 +47,7 @@
                 Action::Keep, false}};
   size_t Begun = Old.Requests.size();
   for (int I = 0; I < 12; ++I) {
-    std::string Answer =
-        goOn("b" + std::to_string(I), "a" + std::to_string(I));
+    std::string Answer = goOn("b" + std::to_string(I), "a" + std::to_string(I));
     CHECK(contains(Answer, " 200 OK"));
   }
   CHECK_EQUAL(0, New.Requests.size());
@@ -58,8 +56,7 @@
 
 TEST(StreamVersions, aBrokenAnswerGoesOnOnlyAtItsVersion) {
   ScriptedTarget &Old = H->target("i-1", "v1");
-  Old.Steps = {{streamAnswerHead() + streamEventChunk(1) +
-                    "8\r\nid: 3\nda\r\n",
+  Old.Steps = {{streamAnswerHead() + streamEventChunk(1) + "8\r\nid: 3\nda\r\n",
                 Action::Reset, false}};
   size_t Caller = H->connect();
   H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
@@ -70,9 +67,77 @@
   New.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
                 Action::Keep, false}};
   CHECK(H->runUntil([&] {
-    return H->closed(Caller) ||
-           contains(H->received(Caller), "0\r\n\r\n");
+    return H->closed(Caller) || contains(H->received(Caller), "0\r\n\r\n");
   }));
   CHECK_EQUAL(0, New.Requests.size());
   CHECK_FALSE(contains(H->received(Caller), "0\r\n\r\n"));
 }
+
+TEST(StreamVersions, aStreamWhoseVersionIsGoneIsRefusedAsNotRun) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  H->close(begin("a1", Old));
+  ScriptedTarget &New = H->target("i-2", "v2");
+  New.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                Action::Keep, false}};
+  H->relay().removeTarget("i-1");
+  CHECK(contains(goOn("b1", "a1"), " 503 "));
+  CHECK_EQUAL(0, New.Requests.size());
+}
+
+TEST(StreamVersions, aStreamThatNobodyKnowsIsRefusedWhileVersionsDiffer) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  ScriptedTarget &New = H->target("i-2", "v2");
+  CHECK(contains(goOn("b1", "a1"), " 503 "));
+  CHECK(contains(goOn("b2", ""), " 503 "));
+  CHECK_EQUAL(0, Old.Requests.size() + New.Requests.size());
+}
+
+// Callers of earlier releases do not name their streams.
+TEST(StreamVersions, aStreamWithoutANameGoesOnWhileThereIsOneVersion) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  Old.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                Action::Keep, false}};
+  CHECK(contains(goOn("b1", ""), " 200 OK"));
+}
+
+TEST(StreamVersions, aStreamThatAnotherHostBeganGoesOnOnceAPeerAnswers) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  ScriptedTarget &New = H->target("i-2", "v2");
+  for (ScriptedTarget *T : {&Old, &New}) {
+    T->Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                 Action::Keep, false}};
+  }
+  H->relay().setHosts(3);
+  for (int I = 0; I < 6; ++I) {
+    std::string Began = "a" + std::to_string(I);
+    size_t Caller = H->connect();
+    H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: b" +
+                        std::to_string(I) +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
+                        "\r\nLast-Event-Id: 1\r\nX-Resumes: " +
+                        Began + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(H->runUntil([&] { return H->relay().hasStreamAsks(); }));
+    std::vector<StreamAsk> Asks = H->relay().takeStreamAsks(2);
+    CHECK(Asks.at(0).Stream == streamId(Began));
+    StreamNews Unknown;
+    Unknown.Answers = {{Asks[0].Stream, SoftwareId()}};
+    H->relay().receive(Unknown);
+    STRCMP_EQUAL("", H->received(Caller).c_str());
+    StreamNews Known;
+    Known.Answers = {{Asks[0].Stream, softwareId("v2")}};
+    H->relay().receive(Known);
+    CHECK(H->runUntil(
+        [&] { return contains(H->received(Caller), "0\r\n\r\n"); }));
+  }
+  CHECK_EQUAL(0, Old.Requests.size());
+  CHECK_EQUAL(6, New.Requests.size());
+}
+
+TEST(StreamVersions, aStreamThatNoPeerKnowsIsRefusedSoon) {
+  H->target("i-1", "v1");
+  H->target("i-2", "v2");
+  H->relay().setHosts(3);
+  Time Start = ProcessClock::now();
+  CHECK(contains(goOn("b1", "a1"), " 503 "));
+  CHECK(ProcessClock::now() - Start < millis(1000));
+}
