Directory: a stale read does not confirm the configuration

A host that is led watches the configuration with stale reads, which may be seconds old. The confirmations of the domain's leader and the host's own exact calls remain.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -386,7 +386,9 @@
   if (F.Listing) {
     this->finishList(Kind);
   }
-  if (Kind != DirectoryKind::Config || this->confirmsConfig(F.CallStartedAt)) {
+  bool IsCurrent = F.CallMode == ReadConsistency::Linearizable &&
+                   this->confirmsConfig(F.CallStartedAt);
+  if (Kind != DirectoryKind::Config || IsCurrent) {
     F.ConfirmedAt = std::max(F.ConfirmedAt, F.CallStartedAt);
   }
   F.Failures = 0;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -1,5 +1,5 @@
-// Requests that go on with a stream: they wait until the version of the software
-// that began it is known, and go only to targets of that version.
+// Requests that go on with a stream: they wait until the version of the
+// software that began it is known, and go only to targets of that version.
 #include "relay_p.h"
 
 #include "event_log_p.h"
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -75,8 +75,8 @@
   return Note;
 }
 
-// Streams that are not needed now stay until they end: another version may begin
-// to serve meanwhile.
+// Streams that are not needed now stay until they end: another version may
+// begin to serve meanwhile.
 std::vector<StreamNote> StreamOrigins::takeNotes(size_t Limit, Time Now) {
   std::vector<StreamNote> Notes;
   std::vector<StreamId> Rest;
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -215,3 +215,21 @@
   advance(1000);
   CHECK_EQUAL(1, Events.ConfirmsStarted);
 }
+
+// A stale reply may be seconds old, so it says nothing about the present.
+TEST(DirectoryBeliefs, aStaleReadConfirmsNothing) {
+  replyToInitialLists();
+  Directory->setLeader(false, false, Now);
+  reply('w', DirectoryKind::Config, {configObject(6, 20)}, 20);
+  advance(1000);
+  Duration Before = Directory->age(DirectoryKind::Config, Now);
+  ScriptedStore::Call Watch = takeCall('w', DirectoryKind::Config);
+  CHECK(Watch.Mode == ReadConsistency::MayBeStale);
+  DirectoryReply R;
+  R.Result = DirectoryReply::Status::Ok;
+  R.StoreRevision = 21;
+  R.Objects = {configObject(7, 21)};
+  Watch.Done(std::move(R));
+  CHECK_EQUAL(7, Events.Version);
+  CHECK(Directory->age(DirectoryKind::Config, Now) >= Before);
+}
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -20,9 +20,9 @@
   HostId Id;
   size_t Domain = 0;
   bool Alive = true;
-  Time Since;        ///< Start of the process.
-  Time FrozenUntil;  ///< It neither sends nor reads before.
-  Time CutUntil;     ///< It hears no other host before.
+  Time Since;       ///< Start of the process.
+  Time FrozenUntil; ///< It neither sends nor reads before.
+  Time CutUntil;    ///< It hears no other host before.
   std::unique_ptr<StreamOrigins> Origins;
   std::deque<std::pair<Time, StreamNews>> Inbox;
   uint64_t BytesSent = 0;
@@ -81,8 +81,8 @@
       Bytes += H.BytesSent;
     }
     this->Counts.BytesPerHostAndSecond =
-        static_cast<double>(Bytes) /
-        static_cast<double>(this->Hosts.size()) / toSeconds(Length);
+        static_cast<double>(Bytes) / static_cast<double>(this->Hosts.size()) /
+        toSeconds(Length);
     return this->Counts;
   }
 
@@ -107,8 +107,8 @@
   }
   /// Two versions serve at any time; a third follows, and the first leaves.
   SoftwareId drawVersion() {
-    size_t Phase = static_cast<size_t>(
-        toSeconds(this->Now - Time(seconds(1000))) / 25);
+    size_t Phase =
+        static_cast<size_t>(toSeconds(this->Now - Time(seconds(1000))) / 25);
     return softwareId("v" + std::to_string(Phase + this->draw(2)));
   }
 
@@ -128,8 +128,8 @@
       S.Software = Software;
       S.Host = I;
       S.Run = static_cast<uint64_t>(H.Since.time_since_epoch().count());
-      S.Ends = this->Now + millis(200 + 40 * static_cast<int64_t>(
-                                             this->draw(200)));
+      S.Ends =
+          this->Now + millis(200 + 40 * static_cast<int64_t>(this->draw(200)));
       H.Origins->recordBegun(Engines, S.Id, S.Software, this->Now);
       this->Streams.push_back(S);
     }
@@ -149,9 +149,9 @@
     this->Streams.swap(Left);
   }
   void returnStream(const Stream &S) {
-    size_t Domain = this->draw(5) == 0 ? this->draw(this->Hosts.size())
-                                       : this->Hosts[S.Host].Domain *
-                                             this->HostsPerDomain;
+    size_t Domain = this->draw(5) == 0
+                        ? this->draw(this->Hosts.size())
+                        : this->Hosts[S.Host].Domain * this->HostsPerDomain;
     Domain = this->Hosts[Domain].Domain;
     for (int Try = 0; Try < 8; ++Try) {
       size_t I = Try < 5 ? Domain * this->HostsPerDomain +
@@ -201,7 +201,8 @@
     StreamNews Sent = News;
     Sent.Host = this->Hosts[From].Id;
     constexpr size_t DatagramHeader = 28;
-    this->Hosts[From].BytesSent += encodeStreamNews(Sent).size() + DatagramHeader;
+    this->Hosts[From].BytesSent +=
+        encodeStreamNews(Sent).size() + DatagramHeader;
     if (this->draw(50) == 0 || this->Now < this->Hosts[From].CutUntil) {
       return;
     }
@@ -238,12 +239,13 @@
         H.Alive = false;
         this->breakStreams(I);
       } else if (this->chance(0.005)) {
-        H.FrozenUntil = this->Now + millis(500 + 50 * static_cast<int64_t>(
-                                                       this->draw(100)));
+        H.FrozenUntil =
+            this->Now +
+            millis(500 + 50 * static_cast<int64_t>(this->draw(100)));
         this->breakStreams(I);
       } else if (this->chance(0.005)) {
-        H.CutUntil = this->Now + millis(500 + 50 * static_cast<int64_t>(
-                                                    this->draw(100)));
+        H.CutUntil = this->Now +
+                     millis(500 + 50 * static_cast<int64_t>(this->draw(100)));
         this->breakStreams(I);
       }
     }
@@ -344,18 +346,19 @@
 
 } // namespace
 
-TEST_GROUP(StreamFleets) {
-  static void play(size_t Domains, size_t HostsPerDomain, uint64_t Seed,
-                   Duration Length = seconds(60)) {
+TEST_GROUP(StreamFleets){static void play(size_t Domains, size_t HostsPerDomain,
+                                          uint64_t Seed,
+                                          Duration Length = seconds(60)){
     StreamFleet Fleet(Domains, HostsPerDomain, 9, Seed);
-    StreamCounts C = Fleet.run(Length, true);
-    std::string Run = std::to_string(Domains * HostsPerDomain) +
-                      " hosts, seed " + std::to_string(Seed);
-    CHECK_EQUAL_TEXT(0, C.Wrong, Run.c_str());
-    CHECK_TEXT(C.Returned >= 12, Run.c_str());
-    CHECK_TEXT(2 * C.GoOn > C.Returned, Run.c_str());
-  }
-};
+StreamCounts C = Fleet.run(Length, true);
+std::string Run = std::to_string(Domains * HostsPerDomain) + " hosts, seed " +
+                  std::to_string(Seed);
+CHECK_EQUAL_TEXT(0, C.Wrong, Run.c_str());
+CHECK_TEXT(C.Returned >= 12, Run.c_str());
+CHECK_TEXT(2 * C.GoOn > C.Returned, Run.c_str());
+}
+}
+;
 
 TEST(StreamFleets, sixHostsKnowWhereStreamsBegan) {
   for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
@@ -368,7 +371,9 @@
   play(6, 12, 2, seconds(40));
 }
 
-TEST(StreamFleets, threeHundredHostsKnowWhereStreamsBegan) { play(6, 49, 1, seconds(25)); }
+TEST(StreamFleets, threeHundredHostsKnowWhereStreamsBegan) {
+  play(6, 49, 1, seconds(25));
+}
 
 // The rate of requests of the size in docs/CAPACITY.md, and its bound.
 TEST(StreamFleets, whatAHostSendsFitsItsBytesForControl) {
