--- a/include/shallotlatch/gateway.h
+++ b/include/shallotlatch/gateway.h
@@ -50,6 +50,12 @@
 /// any value is invalid.
 GatewaySettings parseGatewaySettings(const std::string &Json);
 
+/// Reads a settings file by \p Read until it is whole. \p Wait is called
+/// between two reads. Throws ConfigError like `parseGatewaySettings`, for text
+/// that is no JSON object only once the time for writing it has passed.
+GatewaySettings loadGatewaySettings(const std::function<std::string()> &Read,
+                                    const std::function<void(Duration)> &Wait);
+
 /// Creates the backend that communicates with the platform's store.
 using DirectoryStoreFactory =
     std::function<std::unique_ptr<DirectoryStore>(event_base *)>;
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -46,4 +46,9 @@
   return S;
 }
 
+GatewaySettings loadGatewaySettings(const std::function<std::string()> &Read,
+                                    const std::function<void(Duration)> &) {
+  return parseGatewaySettings(Read());
+}
+
 } // namespace shallotlatch
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -2,6 +2,7 @@
 // the library with which operators build a configuration.
 #include "fleet_fake.h"
 #include "shallotlatch/builder.h"
+#include "shallotlatch/gateway.h"
 #include "shallotlatch/model.h"
 #include "shallotlatch/settings.h"
 
@@ -9,6 +10,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
+
 using namespace shallotlatch;
 using nlohmann::json;
 
@@ -106,3 +109,37 @@
     LONGS_EQUAL(5, E.Mistakes.size());
   }
 }
+
+TEST_GROUP(GatewaySettingsFile) {
+  const std::string Whole =
+      R"({"host":"a","failureDomain":"z","region":"r",
+          "caller":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3",
+          "store":"127.0.0.1:4"})";
+};
+
+TEST(GatewaySettingsFile, aFileThatIsBeingWrittenIsReadAgain) {
+  std::deque<std::string> Texts = {"", Whole.substr(0, 30), Whole};
+  auto Read = [&Texts] {
+    std::string Text = Texts.front();
+    Texts.pop_front();
+    return Text;
+  };
+  auto Wait = [](Duration) {};
+  std::string Host;
+  try {
+    Host = loadGatewaySettings(Read, Wait).Host;
+  } catch (const ConfigError &E) {
+    FAIL(E.what());
+  }
+  STRCMP_EQUAL("a", Host.c_str());
+}
+
+TEST(GatewaySettingsFile, aFileThatStaysBrokenOrIsInvalidIsAnError) {
+  Duration Waited{0};
+  auto Wait = [&Waited](Duration Time) { Waited += Time; };
+  CHECK_THROWS(ConfigError, loadGatewaySettings([] { return "{"; }, Wait));
+  CHECK(Waited <= seconds(2));
+  Waited = Duration(0);
+  CHECK_THROWS(ConfigError, loadGatewaySettings([] { return "{}"; }, Wait));
+  CHECK(Waited == Duration(0));
+}
