Gateway: a settings file that is being written is read again at the start

The soak wrote the file in place, as editors do. A host now reads a file that is no JSON object again for a second; the soak replaces the file whole.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -5,6 +5,15 @@
 
 namespace shallotlatch {
 
+// Time within which a settings file that is being written becomes whole, and
+// the interval at which it is read again.
+static constexpr Duration MaxWriteTime = seconds(1);
+static constexpr Duration RereadInterval = millis(50);
+
+static bool isJsonObject(const std::string &Text) {
+  return nlohmann::json::parse(Text, nullptr, false).is_object();
+}
+
 static void readSeconds(ObjectReader &R, const char *Field, Duration &Value) {
   double Count = toSeconds(Value);
   R.number(Field, Count, 0.1, 3600);
@@ -47,8 +56,14 @@
 }
 
 GatewaySettings loadGatewaySettings(const std::function<std::string()> &Read,
-                                    const std::function<void(Duration)> &) {
-  return parseGatewaySettings(Read());
+                                    const std::function<void(Duration)> &Wait) {
+  std::string Text = Read();
+  for (Duration Waited{0}; !isJsonObject(Text) && Waited < MaxWriteTime;
+       Waited += RereadInterval) {
+    Wait(RereadInterval);
+    Text = Read();
+  }
+  return parseGatewaySettings(Text);
 }
 
 } // namespace shallotlatch
--- a/tools/soak/soak_world.cpp
+++ b/tools/soak/soak_world.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -180,8 +181,11 @@
          {"cores", Host == 0 ? 0.5 : 0.25},
          {"memoryMb", 260},
          {"descriptors", 1024}};
-  std::ofstream(this->Init.Folder + "/host-" + std::to_string(Host) + ".json")
-      << S.dump(1);
+  // A process that was just started may be reading the file.
+  std::string Path =
+      this->Init.Folder + "/host-" + std::to_string(Host) + ".json";
+  std::ofstream(Path + ".new") << S.dump(1);
+  std::filesystem::rename(Path + ".new", Path);
 }
 
 void SoakEnvironment::startHost(uint32_t Host) {
