Quota: a host keeps to its part of the fleet's level until the next one

Callers of a customer far beyond its quota saw pulses: 1.2 to 1.4 M tokens admitted within a second, then everything refused for two or three.

A level just above zero let each host admit what it was asked.

Below three fifths of the bucket a host now admits its part of the level, by its share of what the fleet admitted in the last two seconds, an equal part at least; for a request larger than that it draws once a level. A customer at three of 60 hosts still uses its quota.

--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -291,6 +291,7 @@
                                              this->ServingHosts;
   this->Directory.setPeerCount(this->HeardHosts - 1);
   this->Relay.quota().setRateShare(Share);
+  this->Relay.quota().setHosts(this->ServingHosts, this->SelfId.Value);
   this->Relay.setHosts(this->ServingHosts);
 }
 
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -17,6 +17,12 @@
 // It suffices for the requests that arrive before the process has heard its
 // peers.
 static constexpr double InitialFillSeconds = 0.25;
+// Share of the bucket from which on hosts admit freely.
+static constexpr double FreeLevelShare = 0.6;
+// Time over which a host's part of what the fleet admits is taken.
+static constexpr double ShareSeconds = 2;
+// Longest time between two levels that says what the fleet admitted.
+static constexpr double MaxSyncGapSeconds = 1;
 // Number of reports whose totals are kept. An owner that has not read any of
 // them is out of touch.
 static constexpr size_t MaxReports = 64;
@@ -53,6 +59,10 @@
 void FleetQuota::refill(Bucket &B, Time Now) const {
   double Passed = toSeconds(Now - B.LastRefill);
   B.LastRefill = Now;
+  B.Level = std::min(B.Burst, B.Level + this->refillRate(B) * Passed);
+}
+
+double FleetQuota::refillRate(const Bucket &B) const {
   double Rate = B.Rate;
   if (this->SpareCapacity) {
     double Window = toSeconds(this->Slack.Window);
@@ -60,7 +70,49 @@
              this->Slack.Tolerance * ToleranceShare) /
             Window;
   }
-  B.Level = std::min(B.Burst, B.Level + Rate * this->RateShare * Passed);
+  return Rate * this->RateShare;
+}
+
+// All hosts admit by one level until the next one tells what the others have
+// admitted. So each keeps to its part of the level, by what it admitted lately
+// of all that the fleet did; a host without a part gets an equal one. Near the
+// full bucket the customer is below its quota and every host admits freely.
+void FleetQuota::startAllowance(Bucket &B, double Level, Time Now) const {
+  double Passed = toSeconds(Now - B.SyncedAt);
+  if (Passed > 0 && Passed < MaxSyncGapSeconds) {
+    double Weight = std::min(1.0, Passed / ShareSeconds);
+    double Fleet =
+        std::max(0.0, (B.SyncedLevel - Level) / Passed + this->refillRate(B));
+    double Own = (B.OwnAdmitted - B.OwnAtSync) / Passed;
+    B.FleetRate += (Fleet - B.FleetRate) * Weight;
+    B.OwnRate += (Own - B.OwnRate) * Weight;
+  }
+  double Part = B.FleetRate > 0 ? B.OwnRate / B.FleetRate : 0;
+  Part = std::max(Part, 1.0 / this->Hosts);
+  B.SyncedLevel = Level;
+  B.SyncedAt = Now;
+  B.OwnAtSync = B.OwnAdmitted;
+  B.Allowance = std::max(0.0, Level) * std::min(1.0, Part);
+  B.HasDrawn = false;
+}
+
+// A request is mostly larger than a host's part of a low level, so the host
+// draws once whether it admits one.
+bool FleetQuota::withinAllowance(Bucket &B, double Amount) {
+  if (!this->FollowsOwner || B.SyncedLevel >= B.Burst * FreeLevelShare) {
+    return true;
+  }
+  double Left = B.Allowance - (B.OwnAdmitted - B.OwnAtSync);
+  if (Amount <= Left) {
+    return true;
+  }
+  if (B.HasDrawn || Left <= 0) {
+    return false;
+  }
+  B.HasDrawn = true;
+  double Draw =
+      static_cast<double>(hashPair(this->Seed, ++this->Draws) >> 11) * 0x1p-53;
+  return Draw * Amount < Left;
 }
 
 double FleetQuota::requestAmount(const GatewayCustomer &Customer,
@@ -82,8 +134,9 @@
   // A request larger than the burst is admitted once the bucket is full, and
   // leaves a negative level.
   double Missing = std::min(Amount, B.Burst) - B.Level;
-  if (Missing > 0) {
-    double Seconds = Missing / (B.Rate * std::max(0.05, this->RateShare));
+  if (Missing > 0 || !this->withinAllowance(B, Amount)) {
+    double Seconds =
+        std::max(0.0, Missing) / (B.Rate * std::max(0.05, this->RateShare));
     Decision.Admitted = false;
     Decision.RetryAfter =
         std::clamp(Duration(static_cast<int64_t>(Seconds * 1e6)), MinRetryAfter,
@@ -172,6 +225,7 @@
                    (Reported == Known->Admitted.end() ? 0 : Reported->second);
     B.Level = std::min(B.Burst, static_cast<double>(L.Level) - Since);
     B.LastRefill = Now;
+    this->startAllowance(B, static_cast<double>(L.Level), Now);
   }
   return true;
 }
--- a/src/fleet_quota_p.h
+++ b/src/fleet_quota_p.h
@@ -56,6 +56,12 @@
   /// Sets the share of each rate that this host may use. The rest is left to
   /// peers that are silent but may still admit requests.
   void setRateShare(double RateShare) { this->RateShare = RateShare; }
+  /// Sets the number of hosts that admit by the same levels, and this host's
+  /// seed.
+  void setHosts(uint32_t Hosts, uint64_t Seed) {
+    this->Hosts = std::max(1U, Hosts);
+    this->Seed = Seed;
+  }
   /// Sets whether the targets have spare capacity, so that every request is
   /// placed at once.
   void setSpareCapacity(bool SpareCapacity) {
@@ -86,6 +92,15 @@
     double Level = 0;       ///< Amount available; negative while in debt.
     double OwnAdmitted = 0; ///< Total admitted by this host.
     Time LastRefill;
+    /// Amount that this host may admit until the next levels arrive, and
+    /// whether it has drawn for more.
+    double Allowance = 0;
+    bool HasDrawn = false;
+    double SyncedLevel = 0; ///< Level in the last levels.
+    double OwnAtSync = 0;   ///< `OwnAdmitted` then.
+    Time SyncedAt;
+    double FleetRate = 0; ///< What the fleet admitted lately, a second.
+    double OwnRate = 0;   ///< What this host did.
   };
   struct PeerCount {
     uint64_t Run = 0;
@@ -97,11 +112,18 @@
     std::unordered_map<CustomerId, double> Admitted;
   };
   void refill(Bucket &B, Time Now) const;
+  double refillRate(const Bucket &B) const;
+  /// Takes over the fleet's level \p Level for the time until the next one.
+  void startAllowance(Bucket &B, double Level, Time Now) const;
+  bool withinAllowance(Bucket &B, double Amount);
 
   QuotaSlack Slack;
   std::unordered_map<CustomerId, Bucket> Buckets;
   std::map<HostId, PeerCount> Peers;
   std::deque<Report> Reports; ///< The last reports, oldest first.
+  uint32_t Hosts = 1;
+  uint64_t Seed = 0;
+  uint64_t Draws = 0;
   bool FollowsOwner = false;
   double RateShare = 1;
   bool Configured = false; ///< The quotas were configured before.
--- a/tests/test_count_relay.cpp
+++ b/tests/test_count_relay.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -39,6 +41,8 @@
       this->Hosts.back()->Id = HostId{I + 1};
       this->Hosts.back()->Domain = I / HostsPerDomain;
       this->Hosts.back()->Quota.configure(Config, Start);
+      this->Hosts.back()->Quota.setHosts(
+          static_cast<uint32_t>(Domains * HostsPerDomain), I);
     }
   }
 
@@ -46,6 +50,7 @@
   void step() {
     this->Now += millis(20);
     ++this->Steps;
+    this->deliver();
     for (size_t D = 0; D * this->HostsPerDomain < this->Hosts.size(); ++D) {
       SimulatedHost *Owner = this->owner(D);
       if (Owner == nullptr) {
@@ -73,8 +78,22 @@
   std::vector<std::unique_ptr<SimulatedHost>> Hosts;
   size_t HostsPerDomain;
   Time Now;
+  Duration LinkDelay{0}; ///< From sending to the end of reading.
 
 private:
+  void post(std::function<void()> Read) {
+    if (this->LinkDelay.count() == 0) {
+      Read();
+    } else {
+      this->Mail.emplace_back(this->Now + this->LinkDelay, std::move(Read));
+    }
+  }
+  void deliver() {
+    while (!this->Mail.empty() && this->Mail.front().first <= this->Now) {
+      this->Mail.front().second();
+      this->Mail.pop_front();
+    }
+  }
   bool lost() { return this->Random() % 50 == 0; }
 
   /// Share of the live hosts of which the owner has the counts.
@@ -110,9 +129,14 @@
         }
         ++Receivers;
         if (!this->lost()) {
-          To->Quota.mergePeerUse(Host->Id, 1, Use);
-          To->DomainCounts.record(Host->Id, 1, Use, this->Now);
-          To->LastSequence[Host->Id] = Host->Sequence;
+          SimulatedHost *Receiver = To.get();
+          HostId From = Host->Id;
+          uint32_t Sequence = Host->Sequence;
+          this->post([this, Receiver, From, Use, Sequence] {
+            Receiver->Quota.mergePeerUse(From, 1, Use);
+            Receiver->DomainCounts.record(From, 1, Use, this->Now);
+            Receiver->LastSequence[From] = Sequence;
+          });
         }
       }
     }
@@ -143,23 +167,30 @@
       if (this->lost()) {
         continue;
       }
-      for (const HostCounts &Counts : State.Relayed) {
-        if (To->Relayed.accept(Counts, this->Now)) {
-          To->Quota.mergePeerUse(Counts.Host, Counts.Run, Counts.Customers);
+      this->post([this, To, State] {
+        for (const HostCounts &Counts : State.Relayed) {
+          if (To->Relayed.accept(Counts, this->Now)) {
+            To->Quota.mergePeerUse(Counts.Host, Counts.Run, Counts.Customers);
+          }
         }
-      }
+      });
     }
     std::vector<CustomerLevel> Levels = Owner.Quota.levels(this->Now);
     for (auto &Host : this->Hosts) {
       if (Host->Domain == Domain && Host->Alive && Host.get() != &Owner &&
           !this->lost()) {
-        Host->Quota.syncLevels(Levels, Owner.LastSequence[Host->Id], this->Now);
-        Host->Quota.setFollowsOwner(true);
+        SimulatedHost *To = Host.get();
+        uint32_t Sequence = Owner.LastSequence[Host->Id];
+        this->post([this, To, Levels, Sequence] {
+          To->Quota.syncLevels(Levels, Sequence, this->Now);
+          To->Quota.setFollowsOwner(true);
+        });
       }
     }
   }
 
   std::mt19937_64 Random{5};
+  std::deque<std::pair<Time, std::function<void()>>> Mail;
   uint64_t Steps = 0;
   std::map<size_t, HostId> Owners; ///< Owner of each domain.
 };
@@ -233,6 +264,79 @@
   CHECK(admitted(6, 10, 7.5 * 600000, 8, false) <= Limit * 1.1 + 190000);
 }
 
+// The hosts of a fleet learn of each other's admissions some time later, and
+// each request is a good part of a host's share.
+TEST(CountRelay, aCustomerFarBeyondItsQuotaIsNotAdmittedInPulses) {
+  Slack.Overage = 0.1;
+  Slack.Tolerance = 190000;
+  Slack.Window = seconds(8);
+  Config.Customers[Id].RatePerSecond = 400000;
+  Config.Customers[Id].Burst = 400000;
+  SimulatedFleet Fleet(6, 10, Config, Slack, Now);
+  Fleet.LinkDelay = millis(60);
+  for (int I = 0; I < 500; ++I) {
+    Fleet.step();
+  }
+  std::mt19937_64 Random(3);
+  std::exponential_distribution<double> Size(1 / 8000.0);
+  std::bernoulli_distribution Asks(8 * 400000.0 / 50 / 8000 / 60);
+  std::deque<double> Window;
+  double Sum = 0;
+  double Most = 0;
+  double Total = 0;
+  for (int I = 0; I < 30 * 50; ++I) {
+    Fleet.step();
+    double Admitted = 0;
+    for (auto &Host : Fleet.Hosts) {
+      if (Asks(Random)) {
+        double Amount = 500 + Size(Random);
+        Admitted +=
+            Host->Quota.admit(Id, Amount, Fleet.Now).Admitted ? Amount : 0;
+      }
+    }
+    Window.push_back(Admitted);
+    Sum += Admitted;
+    Total += Admitted;
+    if (Window.size() > 8 * 50) {
+      Sum -= Window.front();
+      Window.pop_front();
+    }
+    Most = std::max(Most, Sum);
+  }
+  CHECK(Most <= (400000.0 * 8 + 400000) * 1.1 + 190000);
+  CHECK(Total >= 400000.0 * 30 * 0.97);
+}
+
+// The connections of a customer may reach few hosts only.
+TEST(CountRelay, aCustomerAtThreeHostsUsesItsWholeQuota) {
+  for (double Load : {0.8, 4.0}) {
+    SimulatedFleet Fleet(6, 10, Config, Slack, Now);
+    Fleet.LinkDelay = millis(60);
+    for (int I = 0; I < 500; ++I) {
+      Fleet.step();
+    }
+    std::mt19937_64 Random(4);
+    std::exponential_distribution<double> Size(1 / 8000.0);
+    std::bernoulli_distribution Asks(Load * 600000.0 / 50 / 8500 / 3);
+    double Asked = 0;
+    double Admitted = 0;
+    for (int I = 0; I < 20 * 50; ++I) {
+      Fleet.step();
+      for (size_t At : {1, 2, 33}) {
+        if (Asks(Random)) {
+          double Amount = 500 + Size(Random);
+          Asked += Amount;
+          Admitted +=
+              Fleet.Hosts[At]->Quota.admit(Id, Amount, Fleet.Now).Admitted
+                  ? Amount
+                  : 0;
+        }
+      }
+    }
+    CHECK(Admitted >= 0.97 * std::min(Asked, 20 * 600000.0));
+  }
+}
+
 TEST(CountRelay, threeHundredNinetyHostsRefuseNothingBelowTheQuota) {
   double Demand = 0.8 * 600000;
   double Sum = admitted(6, 65, Demand, 10, false);
