--- a/tests/test_crash_guard.cpp
+++ b/tests/test_crash_guard.cpp
@@ -159,6 +159,47 @@
   CHECK(Ends.back() - Ends.front() > 60 * 8);
 }
 
+// A rate of requests with a part that crashes every target, each with prints of
+// its own beside it, and sound requests between them: three may be sent later
+// than 4 s after the fifth crash.
+TEST(CrashGuard, aPartIsRefusedHoweverFastItCrashesTargets) {
+  for (int Rate : {1, 5, 20, 25, 29, 50, 200, 1000}) {
+    CrashEvidence Evidence{CrashGuardInit{}};
+    Time Start{seconds(100)};
+    std::deque<std::pair<Time, CrashPrints>> Running;
+    std::vector<Time> Crashes;
+    int Late = 0;
+    Duration Step = Duration(1000000 / Rate);
+    uint64_t Number = 1000;
+    Time NextReport = Start;
+    for (Time At = Start; At < Start + seconds(60); At += Step) {
+      while (!Running.empty() && Running.front().first + millis(300) <= At) {
+        Time BrokenAt = Running.front().first + millis(300);
+        CrashRecord Crash{static_cast<uint32_t>(++Number),
+                          Running.front().first, BrokenAt};
+        for (Fingerprint Print : Running.front().second) {
+          Evidence.addCrash(Print, Crash, BrokenAt);
+        }
+        Crashes.push_back(BrokenAt);
+        Running.pop_front();
+      }
+      if (At >= NextReport) {
+        NextReport = At + millis(200);
+        Evidence.report(At);
+      }
+      Evidence.addSurvival({Fingerprint{++Number}, OtherPart}, At, At);
+      CrashPrints Prints = {Fingerprint{++Number}, OtherPart, Part,
+                            Fingerprint{7 + Number % 5}};
+      if (!Evidence.isQuarantined(Prints, At)) {
+        Running.emplace_back(At, Prints);
+        Late += Crashes.size() >= 5 && At > Crashes[4] + seconds(4) ? 1 : 0;
+      }
+    }
+    std::string Text = std::to_string(Rate) + " a second";
+    CHECK_TEXT(Late <= 3, Text.c_str());
+  }
+}
+
 TEST(CrashGuard, theLastPartOfAPromptBelongsToTheRequest) {
   CHECK_EQUAL(2, sharedPromptParts("5c1e:800, 91BD:410 ,e4:250").size());
   CHECK(sharedPromptParts("91bd:1,x:2") == sharedPromptParts("91BD:410,y:3"));
