--- a/src/store_eras.cpp
+++ b/src/store_eras.cpp
@@ -7,6 +7,8 @@
 // Time within which the operator and the targets have written again what the
 // copy lacks.
 static constexpr Duration RewriteTime = millis(2200);
+// Number of departures below which none is dropped.
+static constexpr size_t MinPruneSize = 256;
 // Largest age of a copy from which the store may come back.
 static constexpr Duration MaxCopyAge = seconds(120);
 
@@ -45,6 +47,10 @@
 void DepartedTargets::record(const std::string &Instance, int64_t StartedAtMs,
                              Time Now) {
   this->Departures[Instance] = {StartedAtMs, Now};
+  if (this->Departures.size() >= this->PruneAt) {
+    this->prune(Now);
+    this->PruneAt = 2 * this->Departures.size() + MinPruneSize;
+  }
 }
 
 // The copy may hold an entry that this host has not seen, so sequence numbers
--- a/src/store_eras_p.h
+++ b/src/store_eras_p.h
@@ -64,6 +64,7 @@
   bool covers(const std::string &Instance, int64_t StartedAtMs) const;
   /// Drops what left longer ago than a copy may be old.
   void prune(Time Now);
+  size_t size() const { return this->Departures.size(); }
 
 private:
   struct Departure {
@@ -71,6 +72,7 @@
     Time At;
   };
   std::map<std::string, Departure> Departures;
+  size_t PruneAt = 0; ///< Number of departures at which old ones are dropped.
 };
 
 } // namespace shallotlatch
--- a/tests/test_store_returns.cpp
+++ b/tests/test_store_returns.cpp
@@ -274,3 +274,14 @@
   answerConfirmations(3000, 28);
   CHECK_EQUAL(2, Events.Targets.size());
 }
+
+TEST(StoreReturns, departuresAreForgottenOnceNoCopyIsSoOld) {
+  DepartedTargets Departed;
+  for (int64_t I = 0; I < 5000; ++I) {
+    Now += millis(100);
+    Departed.record("t" + std::to_string(I), I, Now);
+  }
+  CHECK(Departed.covers("t4999", 4999));
+  CHECK(Departed.covers("t4000", 4000));
+  CHECK(Departed.size() < 4000);
+}
