--- a/review/standin/server.cpp
+++ b/review/standin/server.cpp
@@ -19,9 +19,8 @@
   if (this->Acceptor.joinable()) {
     this->Acceptor.join();
   }
-  for (std::thread &T : this->Threads) {
-    T.join();
-  }
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Served.wait(Lock, [this] { return this->Serving == 0; });
 }
 
 bool Server::start() {
@@ -108,16 +107,19 @@
       close(this->Listener);
       return;
     }
-    this->Threads.emplace_back([this, Fd] {
-      Link Caller(Fd);
-      {
-        std::lock_guard<std::mutex> Inner(this->Mutex);
-        this->Links.insert(&Caller);
-      }
-      this->serve(Caller);
-      std::lock_guard<std::mutex> Inner(this->Mutex);
-      this->Links.erase(&Caller);
-    });
+    ++this->Serving;
+    std::thread([this, Fd] {
+      auto Caller = std::make_unique<Link>(Fd);
+      std::unique_lock<std::mutex> Inner(this->Mutex);
+      this->Links.insert(Caller.get());
+      Inner.unlock();
+      this->serve(*Caller);
+      Inner.lock();
+      this->Links.erase(Caller.get());
+      Caller.reset();
+      --this->Serving;
+      this->Served.notify_all();
+    }).detach();
   }
 }
 
--- a/review/standin/server.h
+++ b/review/standin/server.h
@@ -88,7 +88,8 @@
   bool Leaving = false;
   TimePoint LeftAt;
   std::set<Link *> Links;
-  std::list<std::thread> Threads;
+  uint32_t Serving = 0; ///< Threads that serve a connection.
+  std::condition_variable Served;
   std::thread Acceptor;
 };
 
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -35,9 +35,8 @@
     this->Acceptor.join();
     close(this->Listener);
   }
-  for (std::thread &T : this->Threads) {
-    T.join();
-  }
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Served.wait(Lock, [this] { return this->Serving == 0; });
 }
 
 void Store::accept() {
@@ -50,16 +49,19 @@
       }
       return;
     }
-    this->Threads.emplace_back([this, Fd] {
-      Link Caller(Fd);
-      {
-        std::lock_guard<std::mutex> Inner(this->Mutex);
-        this->Links.insert(&Caller);
-      }
-      this->serve(Caller);
-      std::lock_guard<std::mutex> Inner(this->Mutex);
-      this->Links.erase(&Caller);
-    });
+    ++this->Serving;
+    std::thread([this, Fd] {
+      auto Caller = std::make_unique<Link>(Fd);
+      std::unique_lock<std::mutex> Inner(this->Mutex);
+      this->Links.insert(Caller.get());
+      Inner.unlock();
+      this->serve(*Caller);
+      Inner.lock();
+      this->Links.erase(Caller.get());
+      Caller.reset();
+      --this->Serving;
+      this->Served.notify_all();
+    }).detach();
   }
 }
 
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -69,7 +69,8 @@
   std::list<Event> History;
   bool Stopping = false;
   std::set<Link *> Links;
-  std::list<std::thread> Threads;
+  uint32_t Serving = 0; ///< Threads that serve a connection.
+  std::condition_variable Served;
   std::thread Acceptor;
 };
 
