--- a/review/6/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/build/case_pages ] || exit 2
-exec review/build/case_pages review/6
+exec review/build/case_pages review/5
