--- a/review/standin/gateway.cpp
+++ b/review/standin/gateway.cpp
@@ -139,15 +139,4 @@
   }
 }
 
-uint32_t Gateway::residentMb() const {
-  std::ifstream In("/proc/" + std::to_string(this->Pid) + "/status");
-  std::string Line;
-  while (std::getline(In, Line)) {
-    if (Line.compare(0, 6, "VmRSS:") == 0) {
-      return static_cast<uint32_t>(std::stoul(Line.substr(6)) / 1024);
-    }
-  }
-  return 0;
-}
-
 } // namespace review
--- a/review/standin/gateway.h
+++ b/review/standin/gateway.h
@@ -35,8 +35,6 @@
   bool waitEnd(Millis Limit);
   /// Whether the process runs.
   bool running();
-  /// Resident memory in MiB; 0 if the process does not run.
-  uint32_t residentMb() const;
   const std::string &name() const { return this->Name; }
   Endpoint caller() const;
   TimePoint startedAt() const { return this->StartedAt; }
