Review: only cases have folders under review

The stand-ins lie beside build.sh, each case holds its own program, and build.sh writes into the build folder of each case. No change of behaviour.

--- a/review/standin/case_restarts.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // Clients take up streams that a stopping machine has cut, after the other
 // machines were stopped and started in turn.
-#include "caller.h"
-#include "world.h"
+#include "../caller.h"
+#include "../world.h"
 
 #include <algorithm>
 #include <atomic>
--- a/review/standin/case_versions.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 // Streams that go on after a release of another software version, while the
 // configuration shortens the timeouts of the route.
-#include "caller.h"
-#include "world.h"
+#include "../caller.h"
+#include "../world.h"
 
 #include <algorithm>
 #include <mutex>
--- a/review/standin/case_pages.cpp
+++ b/review/5/case.cpp
@@ -1,7 +1,7 @@
 // Servers report that they drain while machines that were killed start again
 // and read the list of servers, which has several pages.
-#include "caller.h"
-#include "world.h"
+#include "../caller.h"
+#include "../world.h"
 
 #include <algorithm>
 #include <atomic>
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/build/case_pages ] || exit 2
-exec review/build/case_pages review/5
+[ -x review/5/build/case ] || exit 2
+exec review/5/build/case review/5
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,19 +1,16 @@
 #!/usr/bin/env bash
-# Builds the programs of the cases, with the stand-ins that they contain.
+# Builds the programs of the cases, with the stand-ins that they contain, into
+# the folder build of each case.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p build
+objects=$(mktemp -d)
+trap 'rm -rf "$objects"' EXIT
 flags=(-std=c++17 -O2 -Wall -Wextra -pthread)
-objects=()
-for source in standin/*.cpp; do
-  object=build/$(basename "$source" .cpp).o
-  g++ "${flags[@]}" -c "$source" -o "$object"
-  case $source in
-  standin/case_*) ;;
-  *) objects+=("$object") ;;
-  esac
+for source in *.cpp; do
+  g++ "${flags[@]}" -c "$source" -o "$objects/${source%.cpp}.o"
 done
-for source in standin/case_*.cpp; do
-  name=$(basename "$source" .cpp)
-  g++ "${flags[@]}" "build/$name.o" "${objects[@]}" -o "build/$name"
+for source in [1-5]/case.cpp; do
+  folder=$(dirname "$source")
+  mkdir -p "$folder/build"
+  g++ "${flags[@]}" "$source" "$objects"/*.o -o "$folder/build/case"
 done
