Streams: a shorter time limit does not shorten streams that have begun

Cause: StreamOrigins kept streams and the versions that served for the life of the newest configuration. Streams last as long as the limit they began under allows. A host that started after the change never knew that limit.

Streams and versions are now kept until a stated time that a later configuration does not bring forward, and messages about streams name the time for which streams may still go on. Hosts of earlier releases ignore it.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -174,6 +174,8 @@
   notes @1 :List(StreamGroup);
   asks @2 :List(StreamAsk);
   answers @3 :List(StreamGroup); # To the asks of an earlier message.
+  longestLifeMs @4 :UInt32;  # Time for which streams may still go on, as far as
+                             # the sender knows.
 }
 
 struct Datagram {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -321,7 +321,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(acd99c4f03d12487, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(acd99c4f03d12487, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2211,6 +2211,8 @@
   inline bool hasAnswers() const;
   inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
 
+  inline  ::uint32_t getLongestLifeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2263,6 +2265,9 @@
   inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> disownAnswers();
 
+  inline  ::uint32_t getLongestLifeMs();
+  inline void setLongestLifeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4198,6 +4203,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StreamNews::Reader::getLongestLifeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamNews::Builder::getLongestLifeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamNews::Builder::setLongestLifeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::shallotlatch::fleetwire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -374,6 +374,7 @@
   fleetwire::StreamNews::Builder B =
       Message.initRoot<fleetwire::Datagram>().initStreams();
   B.setHost(News.Host.Value);
+  B.setLongestLifeMs(wireMillis(News.LongestLife));
   NotesByVersion Notes = groupNotes(News.Notes);
   writeNotes(Notes, B.initNotes(static_cast<unsigned>(Notes.size())));
   NotesByVersion Answers = groupNotes(News.Answers);
@@ -400,6 +401,7 @@
 static StreamNews readStreamNews(fleetwire::StreamNews::Reader R) {
   StreamNews News;
   News.Host.Value = R.getHost();
+  News.LongestLife = millis(R.getLongestLifeMs());
   News.Notes = readNotes(R.getNotes());
   News.Answers = readNotes(R.getAnswers());
   for (fleetwire::StreamAsk::Reader A : R.getAsks()) {
--- a/src/fleet_streams.cpp
+++ b/src/fleet_streams.cpp
@@ -80,6 +80,7 @@
         this->Relay.takeStreamAsks(static_cast<uint32_t>(Asked.size()));
     for (size_t First = 0; First < Asks.size(); First += MaxStreamNotes) {
       StreamNews News;
+      News.LongestLife = this->Relay.longestStreamLife();
       size_t Last = std::min(Asks.size(), First + MaxStreamNotes);
       News.Asks.assign(Asks.begin() + static_cast<ptrdiff_t>(First),
                        Asks.begin() + static_cast<ptrdiff_t>(Last));
@@ -93,6 +94,7 @@
   }
   this->NextStreamNotes = Now + StreamNoteInterval;
   StreamNews News;
+  News.LongestLife = this->Relay.longestStreamLife();
   News.Notes = this->Relay.takeStreamNotes();
   if (News.Notes.empty()) {
     return;
@@ -105,6 +107,7 @@
 void FleetExchange::onStreamNews(const StreamNews &News) {
   StreamNews Reply;
   Reply.Answers = this->Relay.receive(News);
+  Reply.LongestLife = this->Relay.longestStreamLife();
   if (!Reply.Answers.empty()) {
     this->Link.post(News.Host, Reply);
   }
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -140,6 +140,8 @@
   /// Takes over what a peer told; returns the answers to what it asked.
   std::vector<StreamNote> receive(const StreamNews &News);
   size_t knownStreams() const { return this->Origins.size(); }
+  /// Returns the time for which streams that have begun may still go on.
+  Duration longestStreamLife() const;
 
   // FrontendEvents
   void onCallerRequest(FrontendRequest &&Request) override;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -24,7 +24,7 @@
       Longest = std::max(Longest, R.Timeout);
     }
   }
-  this->Origins.setStreamLife(Longest + StreamLifeMargin);
+  this->Origins.setStreamLife(Longest + StreamLifeMargin, ProcessClock::now());
 }
 
 void RequestRelay::tickStreams(Time Now) {
@@ -58,7 +58,8 @@
   if (!R.Software.isValid()) {
     R.Software = softwareId(R.Target.Software);
   }
-  this->Origins.recordBegun(R.Service, streamOf(R), R.Software, Now);
+  this->Origins.recordBegun(R.Service, streamOf(R), R.Software,
+                            R.Deadline + StreamLifeMargin, Now);
 }
 
 bool RequestRelay::goesOn(const RelayedRequest &R) {
@@ -102,7 +103,9 @@
                                    const char *How) {
   logEvent("stream-origin", {{"id", R.RequestId},
                              {"resumes", R.Resumes},
-                             {"how", Software ? How : "unknown"}});
+                             {"how", Software ? How : "unknown"},
+                             {"versions", this->Origins.versions(R.Service)},
+                             {"life-ms", toMillis(this->longestStreamLife())}});
   this->Metrics.recordResumption(Software ? How : "unknown");
   if (!Software) {
     this->refuseOrFail(R, "the version that began the stream is not known",
@@ -145,12 +148,17 @@
   return Asks;
 }
 
+Duration RequestRelay::longestStreamLife() const {
+  return this->Origins.longestLife(ProcessClock::now());
+}
+
 std::vector<StreamNote> RequestRelay::takeStreamNotes() {
   return this->Origins.takeNotes(MaxStreamNotes, ProcessClock::now());
 }
 
 std::vector<StreamNote> RequestRelay::receive(const StreamNews &News) {
   Time Now = ProcessClock::now();
+  this->Origins.mergeLife(News.LongestLife, Now);
   this->Origins.merge(News.Notes, Now);
   this->Origins.merge(News.Answers, Now);
   std::vector<PlacementId> Answered;
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -9,24 +9,61 @@
 // and cannot go on while several versions serve.
 static constexpr size_t MaxKnown = 100000;
 
+// Life of streams while no configuration is known.
+static constexpr Duration UnconfiguredLife = seconds(60);
+// Difference between hosts' ends of lives that is not passed on. It exceeds the
+// time in transit, which each message adds to an end.
+static constexpr Duration LifeTolerance = millis(500);
+
 StreamId streamId(std::string_view RequestId) {
   return StreamId{static_cast<uint32_t>(hash64(RequestId)) | 1U};
 }
 
+static void extend(Time &Until, Time Next) { Until = std::max(Until, Next); }
+
+// A stream keeps the time limit of the configuration that it began under.
+void StreamOrigins::setStreamLife(Duration Next, Time Now) {
+  if (this->Life) {
+    this->EarlierLifeEnd = this->lifeEnd(Now);
+  } else {
+    this->UnseenLifeEnd = std::max(this->EarlierLifeEnd, this->Start + Next);
+  }
+  this->Life = Next;
+}
+
+Time StreamOrigins::lifeEnd(Time Now) const {
+  return std::max(this->EarlierLifeEnd,
+                  Now + this->Life.value_or(UnconfiguredLife));
+}
+
+// A process that started after a configuration was replaced learns from its
+// peers how long the streams of that configuration last.
+void StreamOrigins::mergeLife(Duration PeerLife, Time Now) {
+  if (PeerLife < this->longestLife(Now) + LifeTolerance) {
+    return;
+  }
+  this->EarlierLifeEnd = Now + PeerLife;
+  if (Now < this->UnseenLifeEnd) {
+    extend(this->UnseenLifeEnd, this->EarlierLifeEnd);
+  }
+}
+
 void StreamOrigins::recordServing(ServiceId Service, SoftwareId Software,
                                   Time Now) {
-  this->Serving[Service][Software] = Now;
+  extend(this->Serving[Service][Software], this->lifeEnd(Now));
 }
 
 void StreamOrigins::recordBegun(ServiceId Service, StreamId Stream,
-                                SoftwareId Software, Time Now) {
+                                SoftwareId Software, Time Until, Time Now) {
+  extend(this->EarlierLifeEnd, Until);
+  extend(this->Serving[Service][Software], Until);
   if (this->Known.size() >= MaxKnown) {
     return;
   }
   Entry &E = this->Known[Stream];
   E.Software = Software;
   E.Service = Service;
-  E.At = Now;
+  extend(E.Until, std::max(Until, Now + this->Life.value_or(UnconfiguredLife)));
   this->Unsent.push_back(Stream);
 }
 
@@ -38,7 +75,7 @@
     Entry &E = this->Known[Note.Stream];
     if (!E.Software.isValid()) {
       E.Software = Note.Software;
-      E.At = Now;
+      E.Until = this->lifeEnd(Now);
     }
   }
 }
@@ -51,8 +88,8 @@
 
 std::optional<SoftwareId> StreamOrigins::soleVersion(ServiceId Service,
                                                      Time Now) const {
-  return Now - this->Start < this->Life ? std::nullopt
-                                        : this->onlyVersionSeen(Service);
+  return Now < this->UnseenLifeEnd ? std::nullopt
+                                   : this->onlyVersionSeen(Service);
 }
 
 std::optional<SoftwareId>
@@ -64,6 +101,11 @@
   return It->second.begin()->first;
 }
 
+size_t StreamOrigins::versions(ServiceId Service) const {
+  auto It = this->Serving.find(Service);
+  return It == this->Serving.end() ? 0 : It->second.size();
+}
+
 StreamNote StreamOrigins::answer(const StreamAsk &Ask, bool ViewIsFresh,
                                  Time Now) const {
   StreamNote Note{Ask.Stream, SoftwareId()};
@@ -102,14 +144,18 @@
   }
   this->NextPrune = Now + PruneInterval;
   for (auto It = this->Known.begin(); It != this->Known.end();) {
-    It = Now - It->second.At > this->Life ? this->Known.erase(It)
-                                          : std::next(It);
+    It = Now > It->second.Until ? this->Known.erase(It) : std::next(It);
   }
   for (auto &Item : this->Serving) {
     std::map<SoftwareId, Time> &Versions = Item.second;
+    Time Newest = std::max_element(Versions.begin(), Versions.end(),
+                                   [](const auto &A, const auto &B) {
+                                     return A.second < B.second;
+                                   })
+                      ->second;
     for (auto It = Versions.begin(); It != Versions.end();) {
       // The newest stays, so that a service without targets keeps its version.
-      bool Old = Now - It->second > this->Life && Versions.size() > 1;
+      bool Old = Now > It->second && It->second < Newest;
       It = Old ? Versions.erase(It) : std::next(It);
     }
   }
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -38,6 +38,9 @@
   std::vector<StreamNote> Notes;
   std::vector<StreamAsk> Asks;
   std::vector<StreamNote> Answers;
+  /// Time for which streams may still go on, as far as the sender knows; 0 from
+  /// earlier releases.
+  Duration LongestLife{0};
 };
 
 /// Keeps the versions that began streams lately, the own ones and those that
@@ -46,14 +49,20 @@
 public:
   explicit StreamOrigins(Time Start) : Start(Start) {}
 
-  /// Sets the longest time from a stream's first event to the last attempt to
-  /// go on with it.
-  void setStreamLife(Duration Life) { this->Life = Life; }
+  /// Sets the life of the streams that begin from now on: the longest time from
+  /// the first event to the last attempt to go on.
+  void setStreamLife(Duration Life, Time Now);
+  /// Returns the time for which a stream that has begun by now may still go on,
+  /// whichever configuration it began under.
+  Duration longestLife(Time Now) const { return this->lifeEnd(Now) - Now; }
   /// Records that targets of \p Software serve in \p Service.
   void recordServing(ServiceId Service, SoftwareId Software, Time Now);
-  /// Records the version that began a stream at this host.
+  /// Records the version that began a stream at this host. \p Until: time after
+  /// which no attempt goes on with it.
   void recordBegun(ServiceId Service, StreamId Stream, SoftwareId Software,
-                   Time Now);
+                   Time Until, Time Now);
+  /// Records the time for which streams may still go on, as a peer knows it.
+  void mergeLife(Duration PeerLife, Time Now);
   /// Records what peers told.
   void merge(const std::vector<StreamNote> &Notes, Time Now);
   std::optional<SoftwareId> find(StreamId Stream) const;
@@ -63,6 +72,9 @@
   /// Returns the only version of \p Service that is known to serve or to have
   /// served lately. Says nothing of the time before this process started.
   std::optional<SoftwareId> onlyVersionSeen(ServiceId Service) const;
+  /// Returns the number of versions of \p Service at which a stream that can
+  /// still go on may have begun, as far as this process has seen.
+  size_t versions(ServiceId Service) const;
   /// Answers a peer's question.
   StreamNote answer(const StreamAsk &Ask, bool ViewIsFresh, Time Now) const;
   /// Takes at most \p Limit notes for the hosts that replace this one. Empty
@@ -75,12 +87,20 @@
   struct Entry {
     SoftwareId Software;
     ServiceId Service; ///< Invalid if a peer told it.
-    Time At;
+    Time Until;        ///< No attempt goes on with the stream later.
   };
+  /// Returns the time after which no stream goes on that has begun by now.
+  Time lifeEnd(Time Now) const;
+
   Time Start;
-  Duration Life = seconds(60);
+  std::optional<Duration> Life; ///< None before the first configuration.
+  /// End of the streams that began under earlier configurations.
+  Time EarlierLifeEnd;
+  /// End of the streams that began before this process knew of versions.
+  Time UnseenLifeEnd = Time::max();
   std::unordered_map<StreamId, Entry> Known;
-  /// Versions of each service and when targets of them were last known.
+  /// Versions of each service, and the time after which no stream goes on that
+  /// began at them.
   std::map<ServiceId, std::map<SoftwareId, Time>> Serving;
   /// Own streams that are to be given out, the oldest first.
   std::vector<StreamId> Unsent;
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -43,6 +43,12 @@
   size_t Unanswered = 0;
 };
 
+/// What happens to the targets of a fleet.
+enum class TargetCourse : uint8_t {
+  TwoVersions, ///< Two versions serve at any time; now and then one follows.
+  Release,     ///< One version replaces another as time limits are shortened.
+};
+
 /// Counts of a run.
 struct StreamCounts {
   int Returned = 0; ///< Streams taken up again at hosts in touch.
@@ -54,9 +60,9 @@
 class StreamFleet {
 public:
   StreamFleet(size_t Domains, size_t HostsPerDomain, double StreamsPerHost,
-              uint64_t Seed)
-      : HostsPerDomain(HostsPerDomain), StreamsPerHost(StreamsPerHost),
-        Random(Seed), Now(seconds(1000)) {
+              uint64_t Seed, TargetCourse Course = TargetCourse::TwoVersions)
+      : Course(Course), HostsPerDomain(HostsPerDomain),
+        StreamsPerHost(StreamsPerHost), Random(Seed), Now(seconds(1000)) {
     for (size_t I = 0; I < Domains * HostsPerDomain; ++I) {
       this->Hosts.emplace_back();
       this->Hosts.back().Id = HostId{hash64("h" + std::to_string(I))};
@@ -70,6 +76,9 @@
     while (this->Now < End) {
       this->Now += millis(20);
       this->beginStreams();
+      if (this->Course == TargetCourse::Release) {
+        this->release();
+      }
       if (Disturb) {
         this->disturb();
       }
@@ -93,7 +102,7 @@
     H.Since = this->Now;
     H.Inbox.clear();
     H.Origins = std::make_unique<StreamOrigins>(this->Now);
-    H.Origins->setStreamLife(seconds(20));
+    H.Origins->setStreamLife(this->StreamLife, this->Now);
   }
   bool chance(double PerSecond) {
     return std::uniform_real_distribution<double>(0, 1)(this->Random) <
@@ -105,8 +114,43 @@
   bool runs(const StreamHost &H) const {
     return H.Alive && this->Now >= H.FrozenUntil;
   }
+  Duration drawLength() {
+    int64_t Limit = this->Course == TargetCourse::Release
+                        ? toMillis(this->StreamLife) - 5000
+                        : 8000;
+    return millis(200 + static_cast<int64_t>(this->draw(200)) * Limit / 200);
+  }
+  /// Time limits are shortened, targets of the other version take over, and at
+  /// last those of the first one end.
+  void release() {
+    Duration Passed = this->Now - this->Began;
+    if (Passed >= ShorterAt && this->StreamLife > ShortLife) {
+      this->StreamLife = ShortLife;
+      for (StreamHost &H : this->Hosts) {
+        if (H.Alive) {
+          H.Origins->setStreamLife(ShortLife, this->Now);
+        }
+      }
+    }
+    if (Passed >= OldTargetsEnd && !this->OldEnded) {
+      this->OldEnded = true;
+      std::vector<Stream> Left;
+      for (const Stream &S : this->Streams) {
+        if (!(S.Software == softwareId("v1"))) {
+          Left.push_back(S);
+        } else if (this->Now < S.Ends) {
+          this->returnStream(S);
+        }
+      }
+      this->Streams.swap(Left);
+    }
+  }
   /// Two versions serve at any time; a third follows, and the first leaves.
   SoftwareId drawVersion() {
+    if (this->Course == TargetCourse::Release) {
+      bool Old = this->Now - this->Began < ReleaseAt;
+      return softwareId(Old ? "v1" : "v2");
+    }
     size_t Phase =
         static_cast<size_t>(toSeconds(this->Now - Time(seconds(1000))) / 25);
     return softwareId("v" + std::to_string(Phase + this->draw(2)));
@@ -128,9 +172,8 @@
       S.Software = Software;
       S.Host = I;
       S.Run = static_cast<uint64_t>(H.Since.time_since_epoch().count());
-      S.Ends =
-          this->Now + millis(200 + 40 * static_cast<int64_t>(this->draw(200)));
-      H.Origins->recordBegun(Engines, S.Id, S.Software, this->Now);
+      S.Ends = this->Now + this->drawLength();
+      H.Origins->recordBegun(Engines, S.Id, S.Software, S.Ends, this->Now);
       this->Streams.push_back(S);
     }
   }
@@ -200,6 +243,7 @@
   void send(size_t From, HostId To, const StreamNews &News) {
     StreamNews Sent = News;
     Sent.Host = this->Hosts[From].Id;
+    Sent.LongestLife = this->Hosts[From].Origins->longestLife(this->Now);
     constexpr size_t DatagramHeader = 28;
     this->Hosts[From].BytesSent +=
         encodeStreamNews(Sent).size() + DatagramHeader;
@@ -289,6 +333,7 @@
   }
   void read(size_t I, const StreamNews &News) {
     StreamHost &H = this->Hosts[I];
+    H.Origins->mergeLife(News.LongestLife, this->Now);
     H.Origins->merge(News.Notes, this->Now);
     H.Origins->merge(News.Answers, this->Now);
     for (const StreamNote &Answer : News.Answers) {
@@ -332,12 +377,21 @@
     this->Returns.swap(Left);
   }
 
+  static constexpr Duration LongLife = seconds(20);
+  static constexpr Duration ShortLife = seconds(8);
+  static constexpr Duration ShorterAt = seconds(25);
+  static constexpr Duration ReleaseAt = seconds(27);
+  static constexpr Duration OldTargetsEnd = millis(36500);
+  TargetCourse Course;
+  Duration StreamLife = LongLife;
+  bool OldEnded = false;
   size_t HostsPerDomain;
   double StreamsPerHost;
   std::mt19937_64 Random;
   std::vector<StreamHost> Hosts;
   std::vector<Stream> Streams;
   std::vector<PendingReturn> Returns;
+  Time Began = Time(seconds(1000));
   Time Now;
   uint64_t Number = 0;
   uint64_t Steps = 0;
@@ -375,6 +429,73 @@
   play(6, 49, 1, seconds(25));
 }
 
+TEST_GROUP(StreamLives){static void play(size_t Domains, size_t HostsPerDomain,
+                                         uint64_t Seed){
+    StreamFleet Fleet(Domains, HostsPerDomain, 2, Seed, TargetCourse::Release);
+StreamCounts C = Fleet.run(seconds(45), true);
+std::string Run = std::to_string(Domains * HostsPerDomain) + " hosts, seed " +
+                  std::to_string(Seed);
+CHECK_EQUAL_TEXT(0, C.Wrong, Run.c_str());
+CHECK_TEXT(C.Returned >= 12, Run.c_str());
+}
+}
+;
+
+// Guards against streams that go on at another version after a configuration
+// with shorter time limits, since hosts forgot the streams of the former one.
+TEST(StreamLives, aShorterTimeLimitDoesNotShortenStreamsThatHaveBegun) {
+  Time Start{seconds(1000)};
+  SoftwareId Old = softwareId("v1");
+  StreamOrigins Origins(Start);
+  Origins.setStreamLife(seconds(20), Start);
+  Time Begun = Start + seconds(30);
+  Origins.recordServing(Engines, Old, Begun);
+  Origins.recordBegun(Engines, streamId("r"), Old, Begun + seconds(20), Begun);
+  StreamOrigins Peer(Start);
+  Peer.setStreamLife(seconds(20), Start);
+  Peer.recordServing(Engines, Old, Begun);
+  for (StreamOrigins *O : {&Origins, &Peer}) {
+    O->setStreamLife(seconds(8), Begun + millis(500));
+    O->recordServing(Engines, softwareId("v2"), Begun + seconds(1));
+    O->tick(Begun + seconds(15));
+    CHECK_FALSE(O->soleVersion(Engines, Begun + seconds(15)).has_value());
+  }
+  CHECK(Origins.find(streamId("r")) == Old);
+  Peer.tick(Begun + seconds(22));
+  CHECK(Peer.soleVersion(Engines, Begun + seconds(22)) == softwareId("v2"));
+}
+
+// Guards against the same in a host that started after the change and knows the
+// newest configuration only.
+TEST(StreamLives, aHostLearnsTheLifeOfEarlierStreamsFromItsPeers) {
+  Time Start{seconds(1000)};
+  StreamOrigins Origins(Start);
+  Origins.setStreamLife(seconds(8), Start);
+  Origins.recordServing(Engines, softwareId("v2"), Start);
+  Origins.mergeLife(seconds(19), Start + seconds(1));
+  CHECK_FALSE(Origins.soleVersion(Engines, Start + seconds(19)).has_value());
+  // Peers without such streams do not prolong it.
+  for (int I = 2; I < 20; ++I) {
+    Origins.mergeLife(Origins.longestLife(Start + seconds(I)),
+                      Start + seconds(I) + millis(100));
+  }
+  CHECK(Origins.soleVersion(Engines, Start + millis(20100)).has_value());
+}
+
+TEST(StreamLives, streamsOfSixHostsOutliveAShorterTimeLimit) {
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    play(3, 2, Seed);
+  }
+}
+
+TEST(StreamLives, streamsOfSeventyHostsOutliveAShorterTimeLimit) {
+  play(6, 12, 1);
+}
+
+TEST(StreamLives, streamsOfThreeHundredHostsOutliveAShorterTimeLimit) {
+  play(6, 49, 1);
+}
+
 // The rate of requests of the size in docs/CAPACITY.md, and its bound.
 TEST(StreamFleets, whatAHostSendsFitsItsBytesForControl) {
   StreamFleet Fleet(18, 22, 36, 1);
