Streams: a host that starts learns from its peers which versions served

Cause: that one version alone has served was known only to processes older than a stream's life. A host that knows it sends no notes of its streams, and the hosts that had been restarted could tell neither.

A host that starts now asks some peers for the history of each service with resumable streams, and a peer that knows of one version only vouches for it. The question has the form of one for a stream, so earlier releases answer.

--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -30,6 +30,10 @@
 std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers);
 /// Returns the peers that are asked for a stream that another host began.
 std::vector<HostId> streamHostsToAsk(const std::vector<StreamPeer> &Peers);
+/// Returns the peers that are asked for histories for the \p Turn'th time:
+/// some of those above, others each time.
+std::vector<HostId> historyHostsToAsk(const std::vector<StreamPeer> &Peers,
+                                      uint32_t Turn);
 
 class FleetExchange : public FleetLinkEvents {
 public:
@@ -69,6 +73,9 @@
   void shareLimits();
   void removeSilentPeers(Time Now);
   std::vector<StreamPeer> streamPeers(Time Now) const;
+  /// Sends \p Asks to each of \p Hosts.
+  void askStreams(const std::vector<StreamAsk> &Asks,
+                  const std::vector<HostId> &Hosts);
   /// Tells and asks peers for versions that began streams.
   void exchangeStreams(Time Now);
   /// Merges the counts that another owner passed on.
@@ -105,7 +112,8 @@
   Time NextSearchSend;
   Time NextRepeat;
   Time NextStreamNotes;
-  std::string LastSentUse; ///< Content of the last state sent, to compare.
+  uint32_t HistoryAsks = 0; ///< Times that peers were asked for histories.
+  std::string LastSentUse;  ///< Content of the last state sent, to compare.
 };
 
 } // namespace shallotlatch
--- a/src/fleet_streams.cpp
+++ b/src/fleet_streams.cpp
@@ -14,6 +14,8 @@
 // Number of hosts of the own domain that are asked. It exceeds the number of
 // keepers, since hosts may differ in whom they hear.
 static constexpr size_t DomainAsked = 5;
+// Number of hosts that are asked for histories at a time.
+static constexpr size_t HistoryAsked = 3;
 
 std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers) {
   std::vector<StreamPeer> Ranked = Peers;
@@ -58,6 +60,16 @@
   return Asked;
 }
 
+std::vector<HostId> historyHostsToAsk(const std::vector<StreamPeer> &Peers,
+                                      uint32_t Turn) {
+  std::vector<HostId> All = streamHostsToAsk(Peers);
+  std::vector<HostId> Asked;
+  for (size_t I = 0; I < std::min(HistoryAsked, All.size()); ++I) {
+    Asked.push_back(All[(Turn * HistoryAsked + I) % All.size()]);
+  }
+  return Asked;
+}
+
 std::vector<StreamPeer> FleetExchange::streamPeers(Time Now) const {
   std::vector<StreamPeer> Peers;
   for (const auto &Item : this->Link.peers()) {
@@ -73,21 +85,30 @@
   return Peers;
 }
 
+void FleetExchange::askStreams(const std::vector<StreamAsk> &Asks,
+                               const std::vector<HostId> &Hosts) {
+  for (size_t First = 0; First < Asks.size(); First += MaxStreamNotes) {
+    StreamNews News;
+    News.LongestLife = this->Relay.longestStreamLife();
+    size_t Last = std::min(Asks.size(), First + MaxStreamNotes);
+    News.Asks.assign(Asks.begin() + static_cast<ptrdiff_t>(First),
+                     Asks.begin() + static_cast<ptrdiff_t>(Last));
+    for (HostId Host : Hosts) {
+      this->Link.post(Host, News);
+    }
+  }
+}
+
 void FleetExchange::exchangeStreams(Time Now) {
   if (this->Relay.hasStreamAsks()) {
     std::vector<HostId> Asked = streamHostsToAsk(this->streamPeers(Now));
-    std::vector<StreamAsk> Asks =
-        this->Relay.takeStreamAsks(static_cast<uint32_t>(Asked.size()));
-    for (size_t First = 0; First < Asks.size(); First += MaxStreamNotes) {
-      StreamNews News;
-      News.LongestLife = this->Relay.longestStreamLife();
-      size_t Last = std::min(Asks.size(), First + MaxStreamNotes);
-      News.Asks.assign(Asks.begin() + static_cast<ptrdiff_t>(First),
-                       Asks.begin() + static_cast<ptrdiff_t>(Last));
-      for (HostId Host : Asked) {
-        this->Link.post(Host, News);
-      }
-    }
+    this->askStreams(
+        this->Relay.takeStreamAsks(static_cast<uint32_t>(Asked.size())), Asked);
+  }
+  std::vector<StreamAsk> HistoryAsks = this->Relay.takeHistoryAsks();
+  if (!HistoryAsks.empty()) {
+    this->askStreams(HistoryAsks, historyHostsToAsk(this->streamPeers(Now),
+                                                    this->HistoryAsks++));
   }
   if (Now < this->NextStreamNotes) {
     return;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -135,6 +135,9 @@
   /// Takes the streams whose versions peers are to be asked for.
   /// \p HostsToAsk: number of peers that get the question.
   std::vector<StreamAsk> takeStreamAsks(uint32_t HostsToAsk);
+  /// Takes the services of which a peer is to be asked for the history, if that
+  /// is due.
+  std::vector<StreamAsk> takeHistoryAsks();
   /// Takes what peers are to keep of the streams that began here.
   std::vector<StreamNote> takeStreamNotes();
   /// Takes over what a peer told; returns the answers to what it asked.
@@ -284,6 +287,7 @@
   std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
   std::vector<StreamAsk> UnsentAsks; ///< Asks that peers have not got.
   Time NextServingRecord;
+  std::set<ServiceId> ResumableServices; ///< Of routes with such streams.
   GatewayMetrics Metrics;
   std::shared_ptr<const RoutingConfig> Config;
   std::unordered_map<PlacementId, std::unique_ptr<RelayedRequest>> Requests;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -19,9 +19,13 @@
 
 void RequestRelay::applyStreamLife() {
   Duration Longest{0};
+  this->ResumableServices.clear();
   for (const Route &R : this->Config->Routes) {
     if (R.Kind == RouteKind::Stream) {
       Longest = std::max(Longest, R.Timeout);
+      for (const RouteShare &Share : R.Shares) {
+        this->ResumableServices.insert(Share.Service);
+      }
     }
   }
   this->Origins.setStreamLife(Longest + StreamLifeMargin, ProcessClock::now());
@@ -148,6 +152,15 @@
   return Asks;
 }
 
+std::vector<StreamAsk> RequestRelay::takeHistoryAsks() {
+  // An answer continues into the own record only if that is complete.
+  if (!this->StoreView.synced(DirectoryKind::Targets)) {
+    return {};
+  }
+  return this->Origins.takeHistoryAsks(this->ResumableServices,
+                                       ProcessClock::now());
+}
+
 Duration RequestRelay::longestStreamLife() const {
   return this->Origins.longestLife(ProcessClock::now());
 }
@@ -161,6 +174,11 @@
   this->Origins.mergeLife(News.LongestLife, Now);
   this->Origins.merge(News.Notes, Now);
   this->Origins.merge(News.Answers, Now);
+  size_t Histories = this->Origins.mergeHistory(News.Answers, Now);
+  if (Histories > 0) {
+    logEvent("stream-history",
+             {{"peer", toHex(News.Host.Value)}, {"services", Histories}});
+  }
   std::vector<PlacementId> Answered;
   for (const StreamNote &Answer : News.Answers) {
     for (auto &Item : this->OriginWaits) {
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -14,11 +14,18 @@
 // Difference between hosts' ends of lives that is not passed on. It exceeds the
 // time in transit, which each message adds to an end.
 static constexpr Duration LifeTolerance = millis(500);
+// Shortest and longest interval between questions for histories. After many
+// hosts have started at once none knows them, so the interval doubles.
+static constexpr Duration MinHistoryAskInterval = millis(250);
+static constexpr Duration MaxHistoryAskInterval = seconds(4);
 
 StreamId streamId(std::string_view RequestId) {
   return StreamId{static_cast<uint32_t>(hash64(RequestId)) | 1U};
 }
 
+// The ids of streams are odd.
+StreamId historyId(ServiceId Service) { return StreamId{Service.Value & ~1U}; }
+
 static void extend(Time &Until, Time Next) { Until = std::max(Until, Next); }
 
 // A stream keeps the time limit of the configuration that it began under.
@@ -50,13 +57,13 @@
 
 void StreamOrigins::recordServing(ServiceId Service, SoftwareId Software,
                                   Time Now) {
-  extend(this->Serving[Service][Software], this->lifeEnd(Now));
+  extend(this->Histories[Service].Versions[Software], this->lifeEnd(Now));
 }
 
 void StreamOrigins::recordBegun(ServiceId Service, StreamId Stream,
                                 SoftwareId Software, Time Until, Time Now) {
   extend(this->EarlierLifeEnd, Until);
-  extend(this->Serving[Service][Software], Until);
+  extend(this->Histories[Service].Versions[Software], Until);
   if (this->Known.size() >= MaxKnown) {
     return;
   }
@@ -69,7 +76,9 @@
 
 void StreamOrigins::merge(const std::vector<StreamNote> &Notes, Time Now) {
   for (const StreamNote &Note : Notes) {
-    if (!Note.Software.isValid() || this->Known.size() >= MaxKnown) {
+    bool IsStream = (Note.Stream.Value & 1U) != 0;
+    if (!IsStream || !Note.Software.isValid() ||
+        this->Known.size() >= MaxKnown) {
       continue;
     }
     Entry &E = this->Known[Note.Stream];
@@ -80,6 +89,48 @@
   }
 }
 
+// A peer that knows of one version only vouches for the time before its answer.
+// The own record, which begins before the question, continues it, so that this
+// host can vouch in its turn.
+size_t StreamOrigins::mergeHistory(const std::vector<StreamNote> &Answers,
+                                   Time Now) {
+  size_t Learned = 0;
+  for (const StreamNote &Answer : Answers) {
+    if (!Answer.Software.isValid()) {
+      continue;
+    }
+    for (auto &Item : this->Histories) {
+      if (historyId(Item.first) == Answer.Stream) {
+        Learned += Item.second.Vouched ? 0 : 1;
+        Item.second.Vouched = true;
+        extend(Item.second.Versions[Answer.Software], this->lifeEnd(Now));
+      }
+    }
+  }
+  return Learned;
+}
+
+std::vector<StreamAsk>
+StreamOrigins::takeHistoryAsks(const std::set<ServiceId> &Services, Time Now) {
+  std::vector<StreamAsk> Asks;
+  if (Now < this->NextHistoryAsk || Now >= this->UnseenLifeEnd) {
+    return Asks;
+  }
+  for (const auto &Item : this->Histories) {
+    if (!Item.second.Vouched && Services.count(Item.first) != 0 &&
+        Asks.size() < MaxStreamNotes) {
+      Asks.push_back({historyId(Item.first), Item.first});
+    }
+  }
+  if (!Asks.empty()) {
+    this->HistoryAskInterval =
+        std::clamp(this->HistoryAskInterval * 2, MinHistoryAskInterval,
+                   MaxHistoryAskInterval);
+    this->NextHistoryAsk = Now + this->HistoryAskInterval;
+  }
+  return Asks;
+}
+
 std::optional<SoftwareId> StreamOrigins::find(StreamId Stream) const {
   auto It = this->Known.find(Stream);
   return It == this->Known.end() ? std::nullopt
@@ -88,22 +139,24 @@
 
 std::optional<SoftwareId> StreamOrigins::soleVersion(ServiceId Service,
                                                      Time Now) const {
-  return Now < this->UnseenLifeEnd ? std::nullopt
-                                   : this->onlyVersionSeen(Service);
+  auto It = this->Histories.find(Service);
+  bool Known = Now >= this->UnseenLifeEnd ||
+               (It != this->Histories.end() && It->second.Vouched);
+  return Known ? this->onlyVersionSeen(Service) : std::nullopt;
 }
 
 std::optional<SoftwareId>
 StreamOrigins::onlyVersionSeen(ServiceId Service) const {
-  auto It = this->Serving.find(Service);
-  if (It == this->Serving.end() || It->second.size() != 1) {
+  auto It = this->Histories.find(Service);
+  if (It == this->Histories.end() || It->second.Versions.size() != 1) {
     return std::nullopt;
   }
-  return It->second.begin()->first;
+  return It->second.Versions.begin()->first;
 }
 
 size_t StreamOrigins::versions(ServiceId Service) const {
-  auto It = this->Serving.find(Service);
-  return It == this->Serving.end() ? 0 : It->second.size();
+  auto It = this->Histories.find(Service);
+  return It == this->Histories.end() ? 0 : It->second.Versions.size();
 }
 
 StreamNote StreamOrigins::answer(const StreamAsk &Ask, bool ViewIsFresh,
@@ -146,8 +199,8 @@
   for (auto It = this->Known.begin(); It != this->Known.end();) {
     It = Now > It->second.Until ? this->Known.erase(It) : std::next(It);
   }
-  for (auto &Item : this->Serving) {
-    std::map<SoftwareId, Time> &Versions = Item.second;
+  for (auto &Item : this->Histories) {
+    std::map<SoftwareId, Time> &Versions = Item.second.Versions;
     Time Newest = std::max_element(Versions.begin(), Versions.end(),
                                    [](const auto &A, const auto &B) {
                                      return A.second < B.second;
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -17,6 +17,10 @@
 using StreamId = Id<struct StreamTag, uint32_t>;
 StreamId streamId(std::string_view RequestId);
 
+/// Id by which a host asks for the history of a service: the version at which
+/// all streams began that can still go on. It differs from those of streams.
+StreamId historyId(ServiceId Service);
+
 /// What a host knows of a stream.
 struct StreamNote {
   StreamId Stream;
@@ -63,8 +67,15 @@
                    Time Until, Time Now);
   /// Records the time for which streams may still go on, as a peer knows it.
   void mergeLife(Duration PeerLife, Time Now);
-  /// Records what peers told.
+  /// Records what peers told of streams.
   void merge(const std::vector<StreamNote> &Notes, Time Now);
+  /// Records what a peer answered for the history of services. Returns the
+  /// number of services whose history was not known before.
+  size_t mergeHistory(const std::vector<StreamNote> &Answers, Time Now);
+  /// Returns questions for the histories of those of \p Services that began
+  /// before this process started. Empty while none is due.
+  std::vector<StreamAsk> takeHistoryAsks(const std::set<ServiceId> &Services,
+                                         Time Now);
   std::optional<SoftwareId> find(StreamId Stream) const;
   /// Returns the version at which every stream of \p Service must have begun
   /// that can still go on, or nothing if it may be one of several.
@@ -89,6 +100,12 @@
     ServiceId Service; ///< Invalid if a peer told it.
     Time Until;        ///< No attempt goes on with the stream later.
   };
+  struct ServiceHistory {
+    /// Versions, and the time after which no stream goes on that began at them.
+    std::map<SoftwareId, Time> Versions;
+    /// A peer vouched for the time before this process started.
+    bool Vouched = false;
+  };
   /// Returns the time after which no stream goes on that has begun by now.
   Time lifeEnd(Time Now) const;
 
@@ -99,9 +116,9 @@
   /// End of the streams that began before this process knew of versions.
   Time UnseenLifeEnd = Time::max();
   std::unordered_map<StreamId, Entry> Known;
-  /// Versions of each service, and the time after which no stream goes on that
-  /// began at them.
-  std::map<ServiceId, std::map<SoftwareId, Time>> Serving;
+  std::map<ServiceId, ServiceHistory> Histories;
+  Time NextHistoryAsk;
+  Duration HistoryAskInterval{0}; ///< Between the last two asks.
   /// Own streams that are to be given out, the oldest first.
   std::vector<StreamId> Unsent;
   Time NextPrune;
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -24,6 +24,7 @@
   Time FrozenUntil; ///< It neither sends nor reads before.
   Time CutUntil;    ///< It hears no other host before.
   std::unique_ptr<StreamOrigins> Origins;
+  uint32_t HistoryAsks = 0;
   std::deque<std::pair<Time, StreamNews>> Inbox;
   uint64_t BytesSent = 0;
 };
@@ -47,6 +48,8 @@
 enum class TargetCourse : uint8_t {
   TwoVersions, ///< Two versions serve at any time; now and then one follows.
   Release,     ///< One version replaces another as time limits are shortened.
+  OneVersion,  ///< One version serves while hosts are restarted in turn.
+  TwoVersionsInTurn, ///< Two versions serve meanwhile.
 };
 
 /// Counts of a run.
@@ -78,6 +81,8 @@
       this->beginStreams();
       if (this->Course == TargetCourse::Release) {
         this->release();
+      } else if (this->Course != TargetCourse::TwoVersions) {
+        this->restartInTurn();
       }
       if (Disturb) {
         this->disturb();
@@ -115,11 +120,35 @@
     return H.Alive && this->Now >= H.FrozenUntil;
   }
   Duration drawLength() {
-    int64_t Limit = this->Course == TargetCourse::Release
+    int64_t Limit = this->Course != TargetCourse::TwoVersions
                         ? toMillis(this->StreamLife) - 5000
                         : 8000;
     return millis(200 + static_cast<int64_t>(this->draw(200)) * Limit / 200);
   }
+  /// All hosts but the last are stopped and started in turn, within 12 s, and
+  /// then the last one is stopped.
+  void restartInTurn() {
+    Duration Passed = this->Now - this->Began - RestartsAt;
+    size_t Others = this->Hosts.size() - 1;
+    while (this->Restarted < Others &&
+           Passed >= seconds(12) * static_cast<int64_t>(this->Restarted) /
+                         static_cast<int64_t>(Others)) {
+      this->Hosts[this->Restarted].Alive = false;
+      this->breakStreams(this->Restarted++);
+    }
+    for (size_t I = 0; I < Others; ++I) {
+      Duration Since = Passed - seconds(12) * static_cast<int64_t>(I) /
+                                    static_cast<int64_t>(Others);
+      if (!this->Hosts[I].Alive && Since >= millis(500)) {
+        this->start(I);
+      }
+    }
+    if (Passed >= seconds(18) && this->Hosts[Others].Alive) {
+      this->Counts = StreamCounts();
+      this->Hosts[Others].Alive = false;
+      this->breakStreams(Others);
+    }
+  }
   /// Time limits are shortened, targets of the other version take over, and at
   /// last those of the first one end.
   void release() {
@@ -151,6 +180,12 @@
       bool Old = this->Now - this->Began < ReleaseAt;
       return softwareId(Old ? "v1" : "v2");
     }
+    if (this->Course == TargetCourse::OneVersion) {
+      return softwareId("v1");
+    }
+    if (this->Course == TargetCourse::TwoVersionsInTurn) {
+      return softwareId("v" + std::to_string(this->draw(2)));
+    }
     size_t Phase =
         static_cast<size_t>(toSeconds(this->Now - Time(seconds(1000))) / 25);
     return softwareId("v" + std::to_string(Phase + this->draw(2)));
@@ -320,6 +355,13 @@
         this->read(I, News);
       }
       H.Origins->tick(this->Now);
+      StreamNews History;
+      History.Asks = H.Origins->takeHistoryAsks({Engines}, this->Now);
+      if (!History.Asks.empty()) {
+        for (HostId To : historyHostsToAsk(this->peersOf(I), H.HistoryAsks++)) {
+          this->send(I, To, History);
+        }
+      }
       if (this->Steps % 10 == 0) {
         StreamNews News;
         News.Notes = H.Origins->takeNotes(MaxStreamNotes, this->Now);
@@ -336,6 +378,7 @@
     H.Origins->mergeLife(News.LongestLife, this->Now);
     H.Origins->merge(News.Notes, this->Now);
     H.Origins->merge(News.Answers, this->Now);
+    H.Origins->mergeHistory(News.Answers, this->Now);
     for (const StreamNote &Answer : News.Answers) {
       for (PendingReturn &P : this->Returns) {
         if (P.Host == I && P.Of.Id == Answer.Stream && P.Unanswered > 0) {
@@ -384,7 +427,9 @@
   static constexpr Duration OldTargetsEnd = millis(36500);
   TargetCourse Course;
   Duration StreamLife = LongLife;
+  static constexpr Duration RestartsAt = seconds(25);
   bool OldEnded = false;
+  size_t Restarted = 0; ///< Hosts that were stopped.
   size_t HostsPerDomain;
   double StreamsPerHost;
   std::mt19937_64 Random;
@@ -496,6 +541,49 @@
   play(6, 49, 1);
 }
 
+TEST_GROUP(StreamRestarts){static void play(size_t Domains,
+                                            size_t HostsPerDomain, double Rate,
+                                            TargetCourse Course, uint64_t Seed){
+    StreamFleet Fleet(Domains, HostsPerDomain, Rate, Seed, Course);
+StreamCounts C = Fleet.run(seconds(45), false);
+std::string Run = std::to_string(Domains * HostsPerDomain) + " hosts, seed " +
+                  std::to_string(Seed) + ", " + std::to_string(C.GoOn) +
+                  " of " + std::to_string(C.Returned);
+CHECK_EQUAL_TEXT(0, C.Wrong, Run.c_str());
+CHECK_TEXT(C.Returned >= 12, Run.c_str());
+CHECK_TEXT(2 * C.GoOn > C.Returned, Run.c_str());
+}
+}
+;
+
+// Guards against streams of the last host of a rolling restart that go on
+// nowhere, since the hosts that started lately do not know that one version
+// alone has served.
+TEST(StreamRestarts, streamsOfTheLastOfSixHostsGoOn) {
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    play(3, 2, 9, TargetCourse::OneVersion, Seed);
+  }
+}
+
+TEST(StreamRestarts, streamsOfTheLastOfSeventyHostsGoOn) {
+  play(6, 12, 9, TargetCourse::OneVersion, 1);
+  play(6, 12, 9, TargetCourse::OneVersion, 2);
+}
+
+TEST(StreamRestarts, streamsOfTheLastOfThreeHundredHostsGoOn) {
+  play(6, 49, 4, TargetCourse::OneVersion, 1);
+}
+
+// Guards against the same while two versions serve, where the hosts that were
+// told of the streams are among those that were restarted since.
+TEST(StreamRestarts, streamsOfTwoVersionsGoOnAfterTheirKeepersWereRestarted) {
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    play(3, 2, 9, TargetCourse::TwoVersionsInTurn, Seed);
+  }
+  play(6, 12, 9, TargetCourse::TwoVersionsInTurn, 1);
+  play(6, 49, 4, TargetCourse::TwoVersionsInTurn, 1);
+}
+
 // The rate of requests of the size in docs/CAPACITY.md, and its bound.
 TEST(StreamFleets, whatAHostSendsFitsItsBytesForControl) {
   StreamFleet Fleet(18, 22, 36, 1);
