Platform objects: numbers out of range do not wrap

A target's entry of 4,294,967,304 slots counted as one of 8, and large numbers of a configuration were converted beyond their type's range, which is undefined. Counts of entries that do not fit are mistakes; counts and durations of a configuration are bounded.

--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -36,19 +36,19 @@
 
 std::vector<OddEntry> oddEntries() {
   std::string Deep = repeat("[", 400000) + repeat("]", 400000);
-  std::string DeepObjects = repeat("{\"a\":", 100000) + "1" + repeat("}", 100000);
+  std::string DeepObjects =
+      repeat("{\"a\":", 100000) + "1" + repeat("}", 100000);
   return {
       {"nested arrays", entry("odd", ",\"x\":" + Deep), true},
       {"nested objects", entry("odd", ",\"x\":" + DeepObjects), true},
-      {"nested name",
-       R"({"metadata":{"name":)" + Deep + R"(,"revision":7}})"},
+      {"nested name", R"({"metadata":{"name":)" + Deep + R"(,"revision":7}})"},
       {"an array", Deep},
       {"number beyond a double", entry("odd", ",\"x\":1e999")},
-      {"integer beyond 64 bits",
-       entry("odd", ",\"born\":" + repeat("9", 400))},
+      {"integer beyond 64 bits", entry("odd", ",\"born\":" + repeat("9", 400))},
       {"negative number beyond a double", entry("odd", ",\"born\":-1e400")},
       {"start beyond 63 bits", entry("odd", ",\"born\":18446744073709551615")},
       {"fractional start", entry("odd", ",\"born\":1e300")},
+      {"slots beyond 32 bits", entry("odd", "", "10.0.0.9:8080", "4294967304")},
       {"slots beyond 63 bits",
        entry("odd", "", "10.0.0.9:8080", "9223372036854775816")},
       {"port out of range", entry("odd", "", "10.0.0.9:99999")},
@@ -133,10 +133,10 @@
 // makes unreadable as a whole, so that the host follows no target any more.
 TEST(OddEntries, aListWithOneHoldsTheOtherTargets) {
   for (const OddEntry &Odd : oddEntries()) {
-    DirectoryReply R = ask(R"({"has-more":false,"entries":[)" + entry("i-1") +
-                               " ,\n" + Odd.Text + "," + entry("i-2") +
-                               R"(],"at":9})",
-                           true);
+    DirectoryReply R =
+        ask(R"({"has-more":false,"entries":[)" + entry("i-1") + " ,\n" +
+                Odd.Text + "," + entry("i-2") + R"(],"at":9})",
+            true);
     checkSound(R, Odd);
   }
 }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -64,6 +64,23 @@
   DOUBLES_EQUAL(200, FleetQuota::requestAmount(*Customer, false, 0), 0.1);
 }
 
+// Guards against numbers that wrap or overflow as they are converted.
+TEST(PlatformObjects, numbersOutOfRangeAreBounded) {
+  json Config = configuration();
+  Config["routes"][0]["timeout-ms"] = 1e300;
+  Config["routes"][0]["priority"] = -5;
+  Config["routes"][0]["max-attempts"] = 1e20;
+  Config["services"][0]["connection-limit"] = 5e9;
+  Config["limits"]["max-body-bytes"] = 1e12;
+  std::shared_ptr<const RoutingConfig> C = platform::decodeConfig(Config);
+  const Route *R = C->match("h.example", "/a/x");
+  CHECK(R->Timeout == seconds(86400));
+  CHECK_EQUAL(0, R->Rank);
+  CHECK_EQUAL(UINT32_MAX, R->MaxAttempts);
+  CHECK_EQUAL(UINT32_MAX, C->service(serviceId("llm"))->ConnectionLimit);
+  CHECK_EQUAL(UINT32_MAX, C->Limits.MaxBodyBytes);
+}
+
 TEST(PlatformObjects, aServersEntryNamesItsRun) {
   TargetEntry T = platform::decodeTarget("i-1", serverEntry());
   CHECK_EQUAL(8, T.Slots);
