--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -166,3 +166,19 @@
   CHECK(ask(R"({"entries":[]})", true).Result ==
         DirectoryReply::Status::Failed);
 }
+
+// Guards against a name that ends the request line or adds a parameter, so that
+// a list cannot go on after it.
+TEST(OddEntries, aListGoesOnAfterAnyName) {
+  std::string Name = "a b&c=1\r\nX: \xc3\xa4%/?#";
+  Store->list(DirectoryKind::Targets, Name, ReadConsistency::Linearizable,
+              [](DirectoryReply &&) {});
+  for (int I = 0; I < 1000 && Server->Requests.empty(); ++I) {
+    event_base_loop(Base, EVLOOP_ONCE);
+  }
+  CHECK_EQUAL(1, Server->Requests.size());
+  STRCMP_CONTAINS(
+      "GET /objects/servers?after=a%20b%26c%3D1%0D%0AX%3A%20%C3%A4%25%2F%3F%23"
+      " HTTP/1.1\r\n",
+      Server->Requests[0].c_str());
+}
