Client: a list of idle connections is not used after it was erased

takeIdle went on with an iterator to the list of a server's idle connections after discard had erased it, each time the last idle connection was found closed or too old. A server causes that by closing idle connections. No caller is known to have seen it in the deployed build.

The connections are walked in a copy of the list now, as dropIdle does.

Evidence: under the address sanitizer both tests of WireClient ended with a heap-use-after-free in takeIdle before, and pass now.

--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -218,15 +218,16 @@
     return nullptr;
   }
   Time Now = ProcessClock::now();
-  while (!It->second.empty()) {
-    Connection *C = It->second.back(); // The most recently used connection.
+  // The list itself changes, and may be erased, as connections are discarded.
+  // The most recently used connections come first.
+  std::vector<Connection *> List(It->second.rbegin(), It->second.rend());
+  for (Connection *C : List) {
     Duration Age = Now - C->IdleSince;
     if (Age > MaxIdleTime) {
       return nullptr; // All other connections have been idle for longer.
     }
-    It->second.pop_back();
-    --this->IdleCount;
     if (Age <= C->KeepAliveTime && looksOpen(bufferevent_getfd(C->Socket))) {
+      this->removeIdle(*C);
       return C;
     }
     this->discard(*C);
@@ -345,18 +346,23 @@
   ++this->IdleCount;
 }
 
-void PooledHttpClient::discard(Connection &C) {
+void PooledHttpClient::removeIdle(Connection &C) {
   auto Pool = this->Idle.find(C.Key);
-  if (Pool != this->Idle.end()) {
-    auto Position = std::find(Pool->second.begin(), Pool->second.end(), &C);
-    if (Position != Pool->second.end()) {
-      Pool->second.erase(Position);
-      --this->IdleCount;
-    }
-    if (Pool->second.empty()) {
-      this->Idle.erase(Pool);
-    }
+  if (Pool == this->Idle.end()) {
+    return;
   }
+  auto Position = std::find(Pool->second.begin(), Pool->second.end(), &C);
+  if (Position != Pool->second.end()) {
+    Pool->second.erase(Position);
+    --this->IdleCount;
+  }
+  if (Pool->second.empty()) {
+    this->Idle.erase(Pool);
+  }
+}
+
+void PooledHttpClient::discard(Connection &C) {
+  this->removeIdle(C);
   auto It = this->Connections.find(C.Id);
   if (It == this->Connections.end()) {
     return;
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -107,6 +107,9 @@
   void send(Connection &C);
   void finish(Connection &C, OutboundCallEnd End);
   void returnToPool(Connection &C);
+  /// Takes the connection off the list of idle ones, if it is there. A list
+  /// that is empty then is erased.
+  void removeIdle(Connection &C);
   void discard(Connection &C);
   Connection *find(OutboundCallId Call) const;
   static void onSweep(evutil_socket_t, short, void *Self);
