Client: a keep-alive timeout out of range does not overflow

The timeout is bounded by an hour.

Evidence: under the undefined-behaviour sanitizer the test ended with a signed overflow before.

--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -22,6 +22,8 @@
 // Subtracted from the keep-alive timeout that a server states, to allow for the
 // time in which a request travels to the server.
 static constexpr Duration KeepAliveMargin = millis(700);
+// Longest keep-alive timeout of a server that is used.
+static constexpr int64_t MaxKeepAliveSeconds = 3600;
 // Limit on idle connections to one server process.
 static constexpr size_t MaxIdlePerAddress = 24;
 // A server that answers no TCP keepalive probe for about three seconds is
@@ -86,7 +88,9 @@
       if (Position != std::string::npos) {
         int64_t TimeoutSeconds =
             strtoll(KeepAliveField->c_str() + Position + 8, nullptr, 10);
-        this->KeepAliveTime = seconds(TimeoutSeconds) - KeepAliveMargin;
+        this->KeepAliveTime = seconds(std::clamp<int64_t>(
+                                  TimeoutSeconds, 0, MaxKeepAliveSeconds)) -
+                              KeepAliveMargin;
       }
     }
     switch (this->Owner.Events.onHead(this->Call, Head)) {
--- a/tests/test_wire_client.cpp
+++ b/tests/test_wire_client.cpp
@@ -105,3 +105,15 @@
   close(answer());
   close(Fd);
 }
+
+// Guards against a time that overflows.
+TEST(WireClient, aKeepAliveTimeOutOfRangeIsBounded) {
+  for (const char *Timeout : {"9223372036854775807", "-9223372036854775808",
+                              "99999999999999999999", "x", ""}) {
+    start();
+    close(answer(-1, std::string("Keep-Alive: timeout=") + Timeout + "\r\n"));
+    for (int I = 0; I < 20; ++I) {
+      event_base_loop(Base, EVLOOP_NONBLOCK);
+    }
+  }
+}
