Client: a request sent again avoids the connections of its errors

A caller that sends a request again under the same id could be told that it had not run while the target ran it, since the second attempt went out on the same connection and the copy was taken for its answer.

A connection keeps the ids of the requests that got an error on it, 32 at most, and is not used for these.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -360,6 +360,7 @@
   Call.To = P.Target.At;
   Call.ServerIdentity = P.Target.identity();
   Call.Bytes = this->serializeRequest(R);
+  Call.Tag = hash64(R.RequestId);
   Call.ConnectTimeout = ConnectTimeout;
   Call.MaxIdleTime = R.MatchedRoute->repeatable() ? RepeatableMaxIdleTime
                                                   : NonRepeatableMaxIdleTime;
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <vector>
 
 namespace shallotlatch {
 
@@ -26,6 +27,8 @@
 static constexpr int64_t MaxKeepAliveSeconds = 3600;
 // Limit on idle connections to one server process.
 static constexpr size_t MaxIdlePerAddress = 24;
+// Number of errors that a connection may have carried to be used again.
+static constexpr size_t MaxErrorsPerConnection = 32;
 // A server that answers no TCP keepalive probe for about three seconds is
 // considered lost. Callers leave a stream after a pause; these options take
 // whole seconds, so detection within half of that pause is not possible.
@@ -60,6 +63,9 @@
   Time ConnectStartedAt;
   Time IdleSince;
   Duration KeepAliveTime = DefaultKeepAliveTime;
+  uint64_t Tag = 0;
+  bool IsError = false;            ///< The response's status is 400 or above.
+  std::vector<uint64_t> ErrorTags; ///< Of the calls that got an error here.
   bool Connected = false;
   bool Reused = false;
   bool KeepAlive = false;
@@ -81,6 +87,7 @@
 
   bool onHead(HttpHead &Head) override {
     this->KeepAlive = Head.KeepAlive && !Head.BodyEndsAtClose;
+    this->IsError = Head.Status >= 400;
     this->KeepAliveTime = DefaultKeepAliveTime;
     const std::string *KeepAliveField = Head.find("keep-alive");
     if (KeepAliveField != nullptr) {
@@ -215,8 +222,8 @@
   return Length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-PooledHttpClient::Connection *PooledHttpClient::takeIdle(const PoolKey &Key,
-                                                         Duration MaxIdleTime) {
+PooledHttpClient::Connection *
+PooledHttpClient::takeIdle(const PoolKey &Key, const OutboundCall &Call) {
   auto It = this->Idle.find(Key);
   if (It == this->Idle.end()) {
     return nullptr;
@@ -227,9 +234,13 @@
   std::vector<Connection *> List(It->second.rbegin(), It->second.rend());
   for (Connection *C : List) {
     Duration Age = Now - C->IdleSince;
-    if (Age > MaxIdleTime) {
+    if (Age > Call.MaxIdleTime) {
       return nullptr; // All other connections have been idle for longer.
     }
+    if (std::find(C->ErrorTags.begin(), C->ErrorTags.end(), Call.Tag) !=
+        C->ErrorTags.end()) {
+      continue;
+    }
     if (Age <= C->KeepAliveTime && looksOpen(bufferevent_getfd(C->Socket))) {
       this->removeIdle(*C);
       return C;
@@ -242,13 +253,13 @@
 OutboundCallId PooledHttpClient::start(OutboundCall Call) {
   OutboundCallId Id{this->NextId++};
   PoolKey Key{Call.To.text(), Call.ServerIdentity};
-  Connection *C = Call.MaxIdleTime.count() > 0
-                      ? this->takeIdle(Key, Call.MaxIdleTime)
-                      : nullptr;
+  Connection *C =
+      Call.MaxIdleTime.count() > 0 ? this->takeIdle(Key, Call) : nullptr;
   if (C != nullptr) {
     ++this->Counts.Reused;
     C->Reused = true;
     C->Call = Id;
+    C->Tag = Call.Tag;
     C->Bytes = std::move(Call.Bytes);
     this->Active[Id] = C;
     this->send(*C);
@@ -260,6 +271,7 @@
   C->Id = this->NextId++;
   C->Key = std::move(Key);
   C->Call = Id;
+  C->Tag = Call.Tag;
   C->Bytes = std::move(Call.Bytes);
   C->Socket = bufferevent_socket_new(
       this->Base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -294,6 +306,7 @@
 void PooledHttpClient::send(Connection &C) {
   C.SkippedResponse = false;
   C.SkippingResponse = false;
+  C.IsError = false;
   C.Reader.reset();
   if (!this->Events.onSending(C.Call)) {
     // Nothing was sent, so a reused connection can go back to the pool.
@@ -327,10 +340,14 @@
       evbuffer_get_length(bufferevent_get_output(C.Socket)) > 0;
   bool HasUnreadInput =
       evbuffer_get_length(bufferevent_get_input(C.Socket)) > 0;
+  if (C.IsError && C.Tag != 0) {
+    C.ErrorTags.push_back(C.Tag);
+  }
   // A connection that carried a response to another request may carry more of
   // them, so it is not reused.
   if (End == OutboundCallEnd::Complete && C.KeepAlive && !HasUnsentOutput &&
-      !HasUnreadInput && !C.SkippedResponse) {
+      !HasUnreadInput && !C.SkippedResponse &&
+      C.ErrorTags.size() <= MaxErrorsPerConnection) {
     this->returnToPool(C);
   } else {
     this->discard(C);
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -60,6 +60,10 @@
   /// Identifies the server process at the address; each has its own pool.
   uint64_t ServerIdentity = 0;
   std::string Bytes;
+  /// Hash of the id that the answer names; 0 if it names none. The call uses no
+  /// connection that carried an error to a call with the same tag, since the
+  /// server may write that answer again.
+  uint64_t Tag = 0;
   Duration ConnectTimeout = millis(500);
   /// Longest time for which a reused connection may have been idle. Zero forces
   /// a new connection.
@@ -103,7 +107,7 @@
                  : A.Address < B.Address;
     }
   };
-  Connection *takeIdle(const PoolKey &Key, Duration MaxIdleTime);
+  Connection *takeIdle(const PoolKey &Key, const OutboundCall &Call);
   void send(Connection &C);
   void finish(Connection &C, OutboundCallEnd End);
   void returnToPool(Connection &C);
