Relay: only the same kind of answer goes on with a stream

Errors, with events as body too, were never passed on here and ended the stream visibly. A 2xx answer of another content type was passed on as events of the stream.

Cause: each 2xx answer on a route of streams counted as events. An answer now goes on with a stream only if its status and media type are those of the one that began it.

Evidence: anotherAnswerIsNoPartOfAStream failed before at "200 of another type".

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -90,7 +90,14 @@
   R->Status = Head.Status;
   R->NotRun = Head.Status == 421 || Head.find(H.NotRun) != nullptr;
   R->EndsAtClose = Head.BodyEndsAtClose;
-  R->IsEventStream = Success && R->MatchedRoute->Kind == RouteKind::Stream;
+  bool GoesOn = !R->ResponseBegun || continuesStream(*R, Head);
+  R->IsEventStream =
+      Success && R->MatchedRoute->Kind == RouteKind::Stream && GoesOn;
+  if (!GoesOn) {
+    logEvent("stream-not-continued", {{"id", R->RequestId},
+                                      {"target", R->Target.Instance},
+                                      {"status", Head.Status}});
+  }
   for (const HttpField &F : Head.Fields) {
     if (!isHopByHop(F.Name) && !equalsIgnoringCase(F.Name, "content-length")) {
       R->Fields.push_back(F);
@@ -99,6 +106,32 @@
   return ResponseHeadAction::Take;
 }
 
+// Returns the media type in a list of fields without its parameters; empty if
+// there is none.
+static std::string mediaType(const std::string *Value) {
+  std::string Type = Value == nullptr ? "" : *Value;
+  Type.resize(std::min(Type.find_first_of("; \t"), Type.size()));
+  return Type;
+}
+
+void RequestRelay::beginResponse(RelayedRequest &R) {
+  R.ResponseBegun = true;
+  R.BegunStatus = R.Status;
+  R.BegunType.clear();
+  for (const HttpField &F : R.Fields) {
+    if (equalsIgnoringCase(F.Name, "content-type")) {
+      R.BegunType = mediaType(&F.Value);
+    }
+  }
+  this->Frontend.beginResponse(R.Request.Exchange, R.Status, R.Fields);
+}
+
+bool RequestRelay::continuesStream(const RelayedRequest &R,
+                                   const HttpHead &Head) {
+  return Head.Status == R.BegunStatus &&
+         equalsIgnoringCase(mediaType(Head.find("content-type")), R.BegunType);
+}
+
 void RequestRelay::onBody(OutboundCallId Call, std::string_view Part) {
   RelayedRequest *R = this->findByCall(Call);
   if (R == nullptr) {
@@ -162,8 +195,7 @@
   }
   this->service(R.Service).Places->started(R.Id, Now);
   if (!R.ResponseBegun) {
-    R.ResponseBegun = true;
-    this->Frontend.beginResponse(R.Request.Exchange, R.Status, R.Fields);
+    this->beginResponse(R);
   }
   bool BelowHighMark = this->Frontend.writeChunk(
       R.Request.Exchange, std::string_view(R.Body).substr(0, End));
@@ -308,8 +340,7 @@
 void RequestRelay::forwardCompleteResponse(RelayedRequest &R) {
   if (R.IsEventStream) {
     if (!R.ResponseBegun) {
-      R.ResponseBegun = true;
-      this->Frontend.beginResponse(R.Request.Exchange, R.Status, R.Fields);
+      this->beginResponse(R);
     }
     this->Frontend.endResponse(R.Request.Exchange);
     this->finish(R, Outcome::Completed, R.Status, "");
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -200,6 +200,10 @@
     bool NotRun = false;
     bool IsEventStream = false; ///< The response is a stream of events.
     bool EndsAtClose = false;   ///< The response ends with its connection.
+    /// Status and content type of the response that the caller's has begun
+    /// with; what goes on with it has the same.
+    int BegunStatus = 0;
+    std::string BegunType;
     std::vector<HttpField> Fields;
     std::string Body;        ///< Whole body, or a stream's incomplete event.
     std::string LastEventId; ///< Id of the last event forwarded.
@@ -265,6 +269,10 @@
   /// caused.
   void recordCrashEvidence(const RelayedRequest &R, OutboundCallEnd End);
   void releasePlace(RelayedRequest &R, AttemptResult Sign);
+  /// Begins the response to the caller with the head of the current answer.
+  void beginResponse(RelayedRequest &R);
+  /// Whether an answer with \p Head goes on with the stream that has begun.
+  static bool continuesStream(const RelayedRequest &R, const HttpHead &Head);
   void forwardEvents(RelayedRequest &R);
   void forwardCompleteResponse(RelayedRequest &R);
   void fail(RelayedRequest &R, int Status, const char *Detail);
--- a/tests/test_faulty_targets.cpp
+++ b/tests/test_faulty_targets.cpp
@@ -79,3 +79,85 @@
   CHECK(contains(sendUntilRead(A, "/once/x", "b2", "ran"), " 200 "));
   CHECK_EQUAL(2, A.AcceptedConnections);
 }
+
+namespace {
+
+struct OtherAnswer {
+  const char *What;
+  std::string Bytes;
+  Action AfterSend = Action::Keep;
+};
+
+std::string answer(const std::string &Status, const std::string &Type,
+                   const std::string &Body) {
+  return "HTTP/1.1 " + Status + "\r\nX-Id: @ID@\r\nX-Stamp: s2\r\n" +
+         "Content-Type: " + Type +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+std::vector<OtherAnswer> otherAnswers() {
+  const std::string Events = "id: 3\ndata: boom\n\n";
+  return {
+      {"500", answer("500 Error", "text/plain", "boom")},
+      {"500 with events", answer("500 Error", "text/event-stream", Events)},
+      {"500 without length",
+       "HTTP/1.1 500 Error\r\nX-Id: @ID@\r\nX-Stamp: s2\r\n\r\nboom",
+       Action::Close},
+      {"503", answer("503 Full", "text/plain", "boom")},
+      {"503 not run", "HTTP/1.1 503 Full\r\nX-Id: @ID@\r\nX-Not-Run: 1\r\n"
+                      "Content-Length: 4\r\n\r\nboom"},
+      {"400", answer("400 Bad", "text/event-stream", Events)},
+      {"404", answer("404 None", "text/plain", "boom\n\n")},
+      {"421", answer("421 Other", "text/plain", "boom")},
+      {"302", answer("302 Found", "text/event-stream", Events)},
+      {"200 of another type", answer("200 OK", "application/json",
+                                     "{\"error\":\n\n\"boom\"\n\n}\n\n")},
+      {"200 without a type", "HTTP/1.1 200 OK\r\nX-Id: @ID@\r\nX-Stamp: s2\r\n"
+                             "Content-Length: 6\r\n\r\nboom\n\n"},
+      {"204", "HTTP/1.1 204 None\r\nX-Id: @ID@\r\nX-Stamp: s2\r\n\r\n"},
+      {"206", answer("206 Part", "text/event-stream", Events)},
+      {"no HTTP", "boom\n\nHTTP/1.1 500 boom\r\n\r\n"},
+      {"a second head",
+       streamAnswerHead() + "HTTP/1.1 500 boom\r\nX-Id: @ID@\r\n\r\nboom"},
+  };
+}
+
+} // namespace
+
+TEST_GROUP(StreamContinuations) {
+  std::unique_ptr<RelayHarness> H = std::make_unique<RelayHarness>();
+};
+
+// Guards against an error, or another answer that is no rest of the stream, in
+// the middle of a stream that has begun, and against one that ends it as whole.
+TEST(StreamContinuations, anotherAnswerIsNoPartOfAStream) {
+  int Number = 0;
+  for (const OtherAnswer &Other : otherAnswers()) {
+    Action Break = Number % 2 == 0 ? Action::Close : Action::Reset;
+    std::string Id = "r" + std::to_string(++Number);
+    ScriptedTarget &A = H->target("i-a" + Id);
+    A.Steps = {{streamAnswerHead() + streamEventChunk(1) + "8\r\nid: 2\nda\r\n",
+                Break, false}};
+    size_t Caller = H->connect();
+    H->send(Caller, "POST /resume/" + Id +
+                        " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
+                        "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(H->runUntil([&] { return A.Requests.size() == 1; }));
+    ScriptedTarget &B = H->target("i-b" + Id);
+    B.Steps = {{Other.Bytes, Other.AfterSend, false}};
+    CHECK_TEXT(H->runUntil([&] {
+      return H->closed(Caller) || contains(H->received(Caller), "0\r\n\r\n");
+    }),
+               Other.What);
+    CHECK_EQUAL_TEXT(1, B.Requests.size(), Other.What);
+    std::string Answer = H->received(Caller);
+    CHECK_TEXT(contains(Answer, "data: e1"), Other.What);
+    CHECK_FALSE_TEXT(contains(Answer, "boom"), Other.What);
+    CHECK_FALSE_TEXT(contains(Answer, "0\r\n\r\n"), Other.What);
+    CHECK_EQUAL_TEXT(std::string::npos, Answer.find("HTTP/1.1", 1), Other.What);
+    H->relay().removeTarget("i-a" + Id);
+    H->relay().removeTarget("i-b" + Id);
+  }
+}
