Relay: a caller's deadline out of range does not overflow

A deadline of ms overflowed, lay in the past and ended the request with 503.

Evidence: aDeadlineOutOfRangeIsTheRoutesTimeLimit failed before.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration ConnectTimeout = millis(600);
 // Deadline of a request whose caller states none.
 static constexpr Duration DefaultDeadline = seconds(30);
+// Longest deadline of a caller that is read, in milliseconds.
+static constexpr int64_t MaxDeadlineMs = 86400 * 1000;
 // Time reserved before the caller's deadline for sending the final response.
 static constexpr Duration ResponseMargin = millis(30);
 // Deadlines of first attempts on one route differ by up to this percentage of
@@ -174,9 +176,11 @@
   const std::string *TokenCountsField = R.Request.Head.find(H.TokenCounts);
   parseTokenCounts(TokenCountsField, R.PromptTokens, R.OutputTokens);
   const std::string *DeadlineField = R.Request.Head.find(H.DeadlineMs);
-  Duration TimeLeft = DeadlineField == nullptr
-                          ? DefaultDeadline
-                          : millis(atoll(DeadlineField->c_str()));
+  Duration TimeLeft =
+      DeadlineField == nullptr
+          ? DefaultDeadline
+          : millis(std::clamp<int64_t>(atoll(DeadlineField->c_str()), 0,
+                                       MaxDeadlineMs));
   R.Deadline = R.Request.ReceivedAt +
                std::min(TimeLeft - ResponseMargin, R.MatchedRoute->Timeout);
   // The longest deadline seen recently on a route is that of first attempts.
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -424,6 +424,24 @@
   CHECK(T.Requests.at(0).find("X-Deadline: ", At + 1) == std::string::npos);
 }
 
+// Guards against a deadline that overflows and then lies in the past.
+TEST(Relaying, aDeadlineOutOfRangeIsTheRoutesTimeLimit) {
+  ScriptedTarget &A = H->target("i-1");
+  setSteps(A, {{validAnswer("fine"), Action::Keep, false}});
+  for (const char *Deadline :
+       {"9223372036854775807", "9223372036854775", "99999999999999999999"}) {
+    size_t Caller = H->connect();
+    H->send(Caller, std::string("POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: r") +
+                        Deadline + "\r\nX-Deadline: " + Deadline +
+                        "\r\nAuthorization: Token good\r\n"
+                        "Content-Length: 0\r\n\r\n");
+    CHECK_TEXT(
+        H->runUntil([&] { return contains(H->received(Caller), "\r\n\r\n"); }),
+        Deadline);
+    CHECK_TEXT(contains(H->received(Caller), " 200 "), Deadline);
+  }
+}
+
 TEST(Relaying, aRequestThatWasSentEndsAtItsDeadlineAsMayHaveRun) {
   ScriptedTarget &T = H->target("i-1");
   setSteps(T, {{"", Action::Hold, false}});
