Streams: a host without a configuration names no stream life

Found by reading: a host that has no configuration yet answered with the life that it assumes meanwhile, 60 s, so hosts that start together would have refused unknown streams for that long instead of 20 s. It names none now. A host asks for histories only once it knows of peers.

Evidence: aHostWithoutAConfigurationNamesNoLife failed before.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -106,8 +106,7 @@
   return ResponseHeadAction::Take;
 }
 
-// Returns the media type in a list of fields without its parameters; empty if
-// there is none.
+// Returns a content type without its parameters; empty if there is none.
 static std::string mediaType(const std::string *Value) {
   std::string Type = Value == nullptr ? "" : *Value;
   Type.resize(std::min(Type.find_first_of("; \t"), Type.size()));
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -154,7 +154,7 @@
 
 std::vector<StreamAsk> RequestRelay::takeHistoryAsks() {
   // An answer continues into the own record only if that is complete.
-  if (!this->StoreView.synced(DirectoryKind::Targets)) {
+  if (this->Hosts <= 1 || !this->StoreView.synced(DirectoryKind::Targets)) {
     return {};
   }
   return this->Origins.takeHistoryAsks(this->ResumableServices,
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -43,6 +43,10 @@
                   Now + this->Life.value_or(UnconfiguredLife));
 }
 
+Duration StreamOrigins::longestLife(Time Now) const {
+  return this->Life ? this->lifeEnd(Now) - Now : Duration(0);
+}
+
 // A process that started after a configuration was replaced learns from its
 // peers how long the streams of that configuration last.
 void StreamOrigins::mergeLife(Duration PeerLife, Time Now) {
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -57,8 +57,8 @@
   /// the first event to the last attempt to go on.
   void setStreamLife(Duration Life, Time Now);
   /// Returns the time for which a stream that has begun by now may still go on,
-  /// whichever configuration it began under.
-  Duration longestLife(Time Now) const { return this->lifeEnd(Now) - Now; }
+  /// whichever configuration it began under; 0 while none is known.
+  Duration longestLife(Time Now) const;
   /// Records that targets of \p Software serve in \p Service.
   void recordServing(ServiceId Service, SoftwareId Software, Time Now);
   /// Records the version that began a stream at this host. \p Until: time after
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -527,6 +527,22 @@
   CHECK(Origins.soleVersion(Engines, Start + millis(20100)).has_value());
 }
 
+// Guards against hosts that start together and prolong each other's ignorance,
+// since one of them has no configuration yet.
+TEST(StreamLives, aHostWithoutAConfigurationNamesNoLife) {
+  Time Start{seconds(1000)};
+  StreamOrigins Unconfigured(Start);
+  CHECK(Unconfigured.longestLife(Start) == Duration(0));
+  StreamOrigins Origins(Start);
+  Origins.setStreamLife(seconds(20), Start);
+  Origins.recordServing(Engines, softwareId("v1"), Start);
+  Origins.mergeLife(Unconfigured.longestLife(Start), Start);
+  CHECK(Origins.soleVersion(Engines, Start + seconds(20)).has_value());
+  Unconfigured.mergeLife(seconds(20), Start);
+  Unconfigured.setStreamLife(seconds(8), Start + millis(100));
+  CHECK(Unconfigured.longestLife(Start + millis(100)) > seconds(19));
+}
+
 TEST(StreamLives, streamsOfSixHostsOutliveAShorterTimeLimit) {
   for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
     play(3, 2, Seed);
