--- a/tests/test_faulty_targets.cpp
+++ b/tests/test_faulty_targets.cpp
@@ -140,10 +140,10 @@
     A.Steps = {{streamAnswerHead() + streamEventChunk(1) + "8\r\nid: 2\nda\r\n",
                 Break, false}};
     size_t Caller = H->connect();
-    H->send(Caller, "POST /resume/" + Id +
-                        " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
-                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
-                        "\r\nContent-Length: 0\r\n\r\n");
+    std::string Request = "POST /resume/" + Id;
+    Request += " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id;
+    H->send(Caller, Request + "\r\nX-Deadline: 20000\r\nAuthorization: Token "
+                              "good\r\nContent-Length: 0\r\n\r\n");
     CHECK(H->runUntil([&] { return A.Requests.size() == 1; }));
     ScriptedTarget &B = H->target("i-b" + Id);
     B.Steps = {{Other.Bytes, Other.AfterSend, false}};
--- a/tests/test_wire_client.cpp
+++ b/tests/test_wire_client.cpp
@@ -36,8 +36,9 @@
 
   void setup() override {
     sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
-    bind(Listener, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
-    listen(Listener, 16);
+    CHECK_EQUAL(
+        0, bind(Listener, reinterpret_cast<sockaddr *>(&Any), sizeof(Any)));
+    CHECK_EQUAL(0, listen(Listener, 16));
     At = boundAddress(Listener);
   }
   void teardown() override {
