--- a/src/directory_objects.cpp
+++ b/src/directory_objects.cpp
@@ -144,8 +144,9 @@
   }
 }
 
-// The watch after a list of several pages shows changes that lie before some of
-// the pages. An object that came and went meanwhile is not reported in between.
+// The watch after a list of several pages repeats changes that some of the
+// pages reflect already. An object that was put and removed since is not
+// reported.
 void FleetDirectory::applyChanges(DirectoryKind Kind,
                                   const std::vector<DirectoryObject> &Changes) {
   std::map<std::string, const DirectoryObject *> Last;
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -159,6 +159,7 @@
     /// call for the first one.
     uint64_t Revision = UINT64_MAX;
     Time StartedAt;
+    /// Returns whether a page was read.
     bool begun() const { return !this->After.empty(); }
   };
   /// State of the list and the watch of one kind.
@@ -209,7 +210,7 @@
   /// Applies the newest of the changes of each object.
   void applyChanges(DirectoryKind Kind,
                     const std::vector<DirectoryObject> &Changes);
-  /// Takes over a page of a list. Returns false if others follow.
+  /// Applies a page of a list. Returns whether it is the last one.
   bool applyPage(DirectoryKind Kind, const DirectoryReply &Page);
   void removeUnlisted(DirectoryKind Kind, const std::string &Name);
   void remove(DirectoryKind Kind, const std::string &Name);
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -30,8 +30,8 @@
 std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers);
 /// Returns the peers that are asked for a stream that another host began.
 std::vector<HostId> streamHostsToAsk(const std::vector<StreamPeer> &Peers);
-/// Returns the peers that are asked for histories for the \p Turn'th time:
-/// some of those above, others each time.
+/// Returns some of the peers that `streamHostsToAsk` returns, others in each
+/// \p Turn.
 std::vector<HostId> historyHostsToAsk(const std::vector<StreamPeer> &Peers,
                                       uint32_t Turn);
 
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -135,8 +135,8 @@
   /// Takes the streams whose versions peers are to be asked for.
   /// \p HostsToAsk: number of peers that get the question.
   std::vector<StreamAsk> takeStreamAsks(uint32_t HostsToAsk);
-  /// Takes the services of which a peer is to be asked for the history, if that
-  /// is due.
+  /// Takes the questions for peers about the versions of services before this
+  /// process started.
   std::vector<StreamAsk> takeHistoryAsks();
   /// Takes what peers are to keep of the streams that began here.
   std::vector<StreamNote> takeStreamNotes();
@@ -200,8 +200,7 @@
     bool NotRun = false;
     bool IsEventStream = false; ///< The response is a stream of events.
     bool EndsAtClose = false;   ///< The response ends with its connection.
-    /// Status and content type of the response that the caller's has begun
-    /// with; what goes on with it has the same.
+    /// Status and media type of the response to the caller, once it has begun.
     int BegunStatus = 0;
     std::string BegunType;
     std::vector<HttpField> Fields;
@@ -295,7 +294,8 @@
   std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
   std::vector<StreamAsk> UnsentAsks; ///< Asks that peers have not got.
   Time NextServingRecord;
-  std::set<ServiceId> ResumableServices; ///< Of routes with such streams.
+  /// Services of the routes of streams.
+  std::set<ServiceId> StreamServices;
   GatewayMetrics Metrics;
   std::shared_ptr<const RoutingConfig> Config;
   std::unordered_map<PlacementId, std::unique_ptr<RelayedRequest>> Requests;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -19,12 +19,12 @@
 
 void RequestRelay::applyStreamLife() {
   Duration Longest{0};
-  this->ResumableServices.clear();
+  this->StreamServices.clear();
   for (const Route &R : this->Config->Routes) {
     if (R.Kind == RouteKind::Stream) {
       Longest = std::max(Longest, R.Timeout);
       for (const RouteShare &Share : R.Shares) {
-        this->ResumableServices.insert(Share.Service);
+        this->StreamServices.insert(Share.Service);
       }
     }
   }
@@ -153,11 +153,11 @@
 }
 
 std::vector<StreamAsk> RequestRelay::takeHistoryAsks() {
-  // An answer continues into the own record only if that is complete.
+  // The own record continues a peer's only if it holds all targets.
   if (this->Hosts <= 1 || !this->StoreView.synced(DirectoryKind::Targets)) {
     return {};
   }
-  return this->Origins.takeHistoryAsks(this->ResumableServices,
+  return this->Origins.takeHistoryAsks(this->StreamServices,
                                        ProcessClock::now());
 }
 
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -11,8 +11,8 @@
 
 // Life of streams while no configuration is known.
 static constexpr Duration UnconfiguredLife = seconds(60);
-// Difference between hosts' ends of lives that is not passed on. It exceeds the
-// time in transit, which each message adds to an end.
+// A peer's life that is longer by less than this is ignored: the time in
+// transit makes each life that is passed on a little longer, without end.
 static constexpr Duration LifeTolerance = millis(500);
 // Shortest and longest interval between questions for histories. After many
 // hosts have started at once none knows them, so the interval doubles.
@@ -23,7 +23,7 @@
   return StreamId{static_cast<uint32_t>(hash64(RequestId)) | 1U};
 }
 
-// The ids of streams are odd.
+// `streamId` returns odd numbers only.
 StreamId historyId(ServiceId Service) { return StreamId{Service.Value & ~1U}; }
 
 static void extend(Time &Until, Time Next) { Until = std::max(Until, Next); }
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -17,8 +17,9 @@
 using StreamId = Id<struct StreamTag, uint32_t>;
 StreamId streamId(std::string_view RequestId);
 
-/// Id by which a host asks for the history of a service: the version at which
-/// all streams began that can still go on. It differs from those of streams.
+/// Returns the id by which a host asks for the history of a service, that is
+/// for the version at which all of its streams began that can still go on. It
+/// differs from the ids of streams.
 StreamId historyId(ServiceId Service);
 
 /// What a host knows of a stream.
@@ -72,8 +73,9 @@
   /// Records what a peer answered for the history of services. Returns the
   /// number of services whose history was not known before.
   size_t mergeHistory(const std::vector<StreamNote> &Answers, Time Now);
-  /// Returns questions for the histories of those of \p Services that began
-  /// before this process started. Empty while none is due.
+  /// Returns the questions for peers about the time before this process
+  /// started, one for each of \p Services of which it does not know. Empty
+  /// while no question is due.
   std::vector<StreamAsk> takeHistoryAsks(const std::set<ServiceId> &Services,
                                          Time Now);
   std::optional<SoftwareId> find(StreamId Stream) const;
@@ -100,10 +102,13 @@
     ServiceId Service; ///< Invalid if a peer told it.
     Time Until;        ///< No attempt goes on with the stream later.
   };
+  /// What is known of the versions of one service.
   struct ServiceHistory {
-    /// Versions, and the time after which no stream goes on that began at them.
+    /// Versions that served, and the time after which no stream goes on that
+    /// began at them.
     std::map<SoftwareId, Time> Versions;
-    /// A peer vouched for the time before this process started.
+    /// `Versions` covers the time before this process started, since a peer
+    /// knew of one version alone.
     bool Vouched = false;
   };
   /// Returns the time after which no stream goes on that has begun by now.
@@ -111,14 +116,15 @@
 
   Time Start;
   std::optional<Duration> Life; ///< None before the first configuration.
-  /// End of the streams that began under earlier configurations.
+  /// Time after which no stream goes on that began under an earlier
+  /// configuration, here or at a peer.
   Time EarlierLifeEnd;
-  /// End of the streams that began before this process knew of versions.
+  /// Time after which no stream goes on that began before this process started.
   Time UnseenLifeEnd = Time::max();
   std::unordered_map<StreamId, Entry> Known;
   std::map<ServiceId, ServiceHistory> Histories;
   Time NextHistoryAsk;
-  Duration HistoryAskInterval{0}; ///< Between the last two asks.
+  Duration HistoryAskInterval{0}; ///< Between the last question and the next.
   /// Own streams that are to be given out, the oldest first.
   std::vector<StreamId> Unsent;
   Time NextPrune;
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -23,11 +23,11 @@
 // Subtracted from the keep-alive timeout that a server states, to allow for the
 // time in which a request travels to the server.
 static constexpr Duration KeepAliveMargin = millis(700);
-// Longest keep-alive timeout of a server that is used.
+// Limit on the keep-alive timeout that a server states.
 static constexpr int64_t MaxKeepAliveSeconds = 3600;
 // Limit on idle connections to one server process.
 static constexpr size_t MaxIdlePerAddress = 24;
-// Number of errors that a connection may have carried to be used again.
+// A connection that carried more errors than this is closed.
 static constexpr size_t MaxErrorsPerConnection = 32;
 // A server that answers no TCP keepalive probe for about three seconds is
 // considered lost. Callers leave a stream after a pause; these options take
@@ -63,7 +63,7 @@
   Time ConnectStartedAt;
   Time IdleSince;
   Duration KeepAliveTime = DefaultKeepAliveTime;
-  uint64_t Tag = 0;
+  uint64_t Tag = 0;                ///< Of the present call.
   bool IsError = false;            ///< The response's status is 400 or above.
   std::vector<uint64_t> ErrorTags; ///< Of the calls that got an error here.
   bool Connected = false;
@@ -229,8 +229,8 @@
     return nullptr;
   }
   Time Now = ProcessClock::now();
-  // The list itself changes, and may be erased, as connections are discarded.
-  // The most recently used connections come first.
+  // Discarding a connection changes the pool's list and may erase it, so the
+  // loop goes over a copy, the most recently used connection first.
   std::vector<Connection *> List(It->second.rbegin(), It->second.rend());
   for (Connection *C : List) {
     Duration Age = Now - C->IdleSince;
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -107,12 +107,14 @@
                  : A.Address < B.Address;
     }
   };
+  /// Returns an idle connection that the call may use; nullptr if there is
+  /// none.
   Connection *takeIdle(const PoolKey &Key, const OutboundCall &Call);
   void send(Connection &C);
   void finish(Connection &C, OutboundCallEnd End);
   void returnToPool(Connection &C);
-  /// Takes the connection off the list of idle ones, if it is there. A list
-  /// that is empty then is erased.
+  /// Removes the connection from the list of idle ones, if it is there, and
+  /// erases a list that is empty then.
   void removeIdle(Connection &C);
   void discard(Connection &C);
   Connection *find(OutboundCallId Call) const;
