--- a/tests/test_faulty_targets.cpp
+++ b/tests/test_faulty_targets.cpp
@@ -65,6 +65,18 @@
   CHECK_EQUAL(2, A.AcceptedConnections);
 }
 
+// A copy that names no request may be anyone's, so it proves nothing.
+TEST(RepeatedRefusals, withoutAnIdTheyProveNothing) {
+  ScriptedTarget &A = H->target("i-1");
+  std::string Nameless = refusal("a1");
+  Nameless.erase(Nameless.find("X-Id"),
+                 Nameless.find("X-Not-Run") - Nameless.find("X-Id"));
+  setSteps(A, {{refusal("a1"), Action::Keep, false}});
+  CHECK(contains(sendUntilRead(A, "/once/x", "a1", "\r\n\r\n"), " 503 "));
+  setSteps(A, {{Nameless + validAnswer("ran"), Action::Keep, false}});
+  CHECK(contains(sendUntilRead(A, "/once/x", "b1", "\r\n\r\n"), " 502 "));
+}
+
 // Callers may send a request again under its id. On another connection than
 // that of the refusal, what comes first answers the present attempt.
 TEST(RepeatedRefusals, aRequestSentAgainUsesAnotherConnection) {
