Target client: silence is told apart from refusals and breaks

A host that has lost its paths and a target that has crashed looked the same in the log: connect-failed named no cause, and a connection that TCP gave up after 2.5 s without an answer counted as broken like one that was reset.

The ends of a call now name silence (connect-timed-out, timed-out), and connect-failed tells how. No decision depends on it yet.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -332,7 +332,8 @@
   bool Success = End == OutboundCallEnd::Complete && R.Status < 300;
   if (Success || answerWellBegun(R)) {
     this->Crashes.onSurvived(R.Prints, Now);
-  } else if (End == OutboundCallEnd::Broken) {
+  } else if (End == OutboundCallEnd::Broken ||
+             End == OutboundCallEnd::TimedOut) {
     this->Crashes.onConnectionBroken(
         {R.Target.Instance, R.Target.shortIdentity(), R.Prints, R.SentAt}, Now);
   }
@@ -350,11 +351,12 @@
   if (End == OutboundCallEnd::Complete && endsWithinEvent(R)) {
     End = OutboundCallEnd::Broken;
   }
-  if (End == OutboundCallEnd::ConnectFailed) {
+  if (isUnsent(End)) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), ProcessClock::now());
     this->releasePlace(R, AttemptResult::Unreachable);
-    logEvent("connect-failed",
-             {{"id", R.RequestId}, {"target", R.Target.Instance}});
+    logEvent("connect-failed", {{"id", R.RequestId},
+                                {"target", R.Target.Instance},
+                                {"how", name(End)}});
     if (++R.ConnectFailures < MaxConnectFailures) {
       this->place(R);
     } else {
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -49,14 +49,24 @@
     return "complete";
   case OutboundCallEnd::ConnectFailed:
     return "connect-failed";
+  case OutboundCallEnd::ConnectTimedOut:
+    return "connect-timed-out";
   case OutboundCallEnd::Broken:
     return "broken";
+  case OutboundCallEnd::TimedOut:
+    return "timed-out";
   case OutboundCallEnd::Malformed:
     return "malformed";
   }
   return "unknown";
 }
 
+// Returns whether \p Error, of a socket, says that no answer came to what was
+// sent, rather than that the other side ended the connection.
+static bool isUnanswered(int Error) {
+  return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
+}
+
 struct PooledHttpClient::Connection : public HttpReaderEvents {
   PooledHttpClient &Owner;
   uint64_t Id = 0;
@@ -170,8 +180,11 @@
       this->Owner.discard(*this);
       return;
     }
+    bool Silent =
+        (What & BEV_EVENT_ERROR) != 0 && isUnanswered(EVUTIL_SOCKET_ERROR());
     if (!this->Connected) {
-      this->Owner.finish(*this, OutboundCallEnd::ConnectFailed);
+      this->Owner.finish(*this, Silent ? OutboundCallEnd::ConnectTimedOut
+                                       : OutboundCallEnd::ConnectFailed);
       return;
     }
     bool CleanClose = (What & BEV_EVENT_EOF) != 0 &&
@@ -185,9 +198,11 @@
       return;
     }
     this->KeepAlive = false;
+    OutboundCallEnd Unfinished =
+        Silent ? OutboundCallEnd::TimedOut : OutboundCallEnd::Broken;
     this->Owner.finish(*this, Result == FeedResult::Complete
                                   ? OutboundCallEnd::Complete
-                                  : OutboundCallEnd::Broken);
+                                  : Unfinished);
   }
 
   static void onRead(bufferevent *, void *Arg) {
@@ -207,7 +222,7 @@
   }
   static void onConnectTimeout(evutil_socket_t, short, void *Arg) {
     Connection *C = static_cast<Connection *>(Arg);
-    C->Owner.finish(*C, OutboundCallEnd::ConnectFailed);
+    C->Owner.finish(*C, OutboundCallEnd::ConnectTimedOut);
   }
 };
 
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -27,10 +27,19 @@
 /// Result of a call.
 enum class OutboundCallEnd : uint8_t {
   Complete,      ///< The whole response was received.
-  ConnectFailed, ///< No byte of the request was sent.
-  Broken,        ///< Closed or reset before the whole response came.
-  Malformed,     ///< The bytes received are not a valid response.
+  ConnectFailed, ///< Refused or reset; no byte of the request was sent.
+  /// No connection was made in time; no byte of the request was sent.
+  ConnectTimedOut,
+  Broken, ///< Closed or reset before the whole response came.
+  /// The connection was given up, as the server's machine stopped answering.
+  TimedOut,
+  Malformed, ///< The bytes received are not a valid response.
 };
+/// Whether \p E shows that no byte of the request was sent.
+constexpr bool isUnsent(OutboundCallEnd E) {
+  return E == OutboundCallEnd::ConnectFailed ||
+         E == OutboundCallEnd::ConnectTimedOut;
+}
 
 const char *name(OutboundCallEnd E);
 
