Tunnels between hosts: a peer passes a call on to a target

The first frame back tells whether the tunnel is open, so a refusal proves that no byte of the request was sent. Bytes of the answer come in frames, and an empty frame stands for a close by the target: the end of the peer's own process closes connections in the same way, and must not complete an answer that ends with its connection.

Nothing uses tunnels yet.

--- a/src/paths/tunnel_codec_p.h
+++ b/src/paths/tunnel_codec_p.h
@@ -32,4 +32,26 @@
 constexpr uint8_t TunnelRefusalCount = 7;
 const char *name(TunnelRefusal Why);
 
+/// Answer of a peer: a reason, or nothing if the tunnel is open.
+using TunnelAnswer = std::optional<TunnelRefusal>;
+
+/// Encodes a message with its frame.
+std::string encodeTunnelRequest(const TunnelRequest &Request);
+std::string encodeTunnelAnswer(TunnelAnswer Answer);
+/// Decode the content of a frame. They return nothing if it is no such message.
+std::optional<TunnelRequest> decodeTunnelRequest(std::string_view Frame);
+std::optional<TunnelAnswer> decodeTunnelAnswer(std::string_view Frame);
+
+/// Length of the number of bytes that begins a frame, and the most bytes that
+/// may follow it.
+constexpr size_t FrameHeadBytes = 4;
+constexpr size_t MaxFrameBytes = 64 * 1024;
+/// Returns the head of a frame of \p Length bytes. An empty frame tells that
+/// the target closed its connection in order, which the end of a tunnel's
+/// connection does not tell.
+std::string frameHead(size_t Length);
+/// Returns the length in \p Head, of FrameHeadBytes bytes; nothing if no frame
+/// is so long.
+std::optional<size_t> frameLength(std::string_view Head);
+
 } // namespace shallotlatch
--- /dev/null
+++ b/src/tcp_options_p.h
@@ -0,0 +1,12 @@
+/// \file
+/// Options of TCP connections to targets and between hosts.
+#pragma once
+
+namespace shallotlatch {
+
+/// Sets the options that all these connections have: no delay of small writes,
+/// and probes that find a machine that answers no more within about three
+/// seconds.
+void setTcpOptions(int Fd);
+
+} // namespace shallotlatch
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -1,41 +1,24 @@
-#include "wire_client_p.h"
+#include "wire_connection_p.h"
 
 #include "sockets_p.h"
+#include "tcp_options_p.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <vector>
 
 namespace shallotlatch {
 
-// Limit on the length of a response's status line and header fields.
-static constexpr uint32_t MaxResponseHeadBytes = 64 * 1024;
 // Interval at which idle connections are checked for expiry.
 static constexpr Duration SweepInterval = seconds(1);
-// Idle time after which a connection is closed if the server states no
-// keep-alive timeout. The shortest timeout in common use by servers is 5 s.
-static constexpr Duration DefaultKeepAliveTime = seconds(4);
-// Subtracted from the keep-alive timeout that a server states, to allow for the
-// time in which a request travels to the server.
-static constexpr Duration KeepAliveMargin = millis(700);
-// Limit on the keep-alive timeout that a server states.
-static constexpr int64_t MaxKeepAliveSeconds = 3600;
 // Limit on idle connections to one server process.
 static constexpr size_t MaxIdlePerAddress = 24;
 // A connection that carried more errors than this is closed.
 static constexpr size_t MaxErrorsPerConnection = 32;
-// A server that answers no TCP keepalive probe for about three seconds is
-// considered lost. Callers leave a stream after a pause; these options take
-// whole seconds, so detection within half of that pause is not possible.
-static constexpr int TcpKeepAliveIdleSeconds = 1;
-static constexpr int TcpKeepAliveIntervalSeconds = 1;
-static constexpr int TcpKeepAliveProbeCount = 2;
-static constexpr unsigned TcpUserTimeoutMs = 2500;
 // Receive buffer of the kernel for a connection; it doubles the value. Over the
 // 40 ms that a round trip to another region takes, it carries 6 MB/s.
 static constexpr int SocketReceiveBytes = 256 * 1024;
@@ -57,175 +40,12 @@
     return "timed-out";
   case OutboundCallEnd::Malformed:
     return "malformed";
+  case OutboundCallEnd::TunnelRefused:
+    return "tunnel-refused";
   }
   return "unknown";
 }
 
-// Returns whether \p Error, of a socket, says that no answer came to what was
-// sent, rather than that the other side ended the connection.
-static bool isUnanswered(int Error) {
-  return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
-}
-
-struct PooledHttpClient::Connection : public HttpReaderEvents {
-  PooledHttpClient &Owner;
-  uint64_t Id = 0;
-  PoolKey Key;
-  bufferevent *Socket = nullptr;
-  HttpReader Reader;
-  OutboundCallId Call;
-  std::string Bytes;
-  std::shared_ptr<const std::string> Body;
-  bool Paused = false; ///< The kernel keeps what the server sends.
-  event *ConnectTimer = nullptr;
-  Time ConnectStartedAt;
-  Time IdleSince;
-  Duration KeepAliveTime = DefaultKeepAliveTime;
-  uint64_t Tag = 0;                ///< Of the present call.
-  bool IsError = false;            ///< The response's status is 400 or above.
-  std::vector<uint64_t> ErrorTags; ///< Of the calls that got an error here.
-  bool Connected = false;
-  bool Reused = false;
-  bool KeepAlive = false;
-  bool SkippingResponse = false;
-  bool SkippedResponse = false;
-  bool Feeding = false;
-
-  explicit Connection(PooledHttpClient &Owner)
-      : Owner(Owner), Reader(HttpRole::Responses, *this, MaxResponseHeadBytes) {
-  }
-  ~Connection() override {
-    if (this->ConnectTimer != nullptr) {
-      event_free(this->ConnectTimer);
-    }
-    if (this->Socket != nullptr) {
-      bufferevent_free(this->Socket);
-    }
-  }
-
-  bool onHead(HttpHead &Head) override {
-    this->KeepAlive = Head.KeepAlive && !Head.BodyEndsAtClose;
-    this->IsError = Head.Status >= 400;
-    this->KeepAliveTime = DefaultKeepAliveTime;
-    const std::string *KeepAliveField = Head.find("keep-alive");
-    if (KeepAliveField != nullptr) {
-      size_t Position = KeepAliveField->find("timeout=");
-      if (Position != std::string::npos) {
-        int64_t TimeoutSeconds =
-            strtoll(KeepAliveField->c_str() + Position + 8, nullptr, 10);
-        this->KeepAliveTime = seconds(std::clamp<int64_t>(
-                                  TimeoutSeconds, 0, MaxKeepAliveSeconds)) -
-                              KeepAliveMargin;
-      }
-    }
-    switch (this->Owner.Events.onHead(this->Call, Head)) {
-    case ResponseHeadAction::Take:
-      this->SkippingResponse = false;
-      return true;
-    case ResponseHeadAction::Skip:
-      this->SkippingResponse = true;
-      this->SkippedResponse = true;
-      return !Head.BodyEndsAtClose;
-    case ResponseHeadAction::Refuse:
-      return false;
-    }
-    return false;
-  }
-  void onBody(std::string_view Part) override {
-    if (!this->SkippingResponse && this->Call.isValid()) {
-      this->Owner.Events.onBody(this->Call, Part);
-    }
-  }
-  void onComplete() override {}
-
-  void read() {
-    evbuffer *Input = bufferevent_get_input(this->Socket);
-    if (!this->Call.isValid()) {
-      this->Owner.discard(*this); // The server sent bytes without a request.
-      return;
-    }
-    while (evbuffer_get_length(Input) > 0) {
-      evbuffer_iovec Span;
-      if (evbuffer_peek(Input, -1, nullptr, &Span, 1) < 1) {
-        return;
-      }
-      size_t Consumed = 0;
-      OutboundCallId Current = this->Call;
-      this->Feeding = true;
-      FeedResult Result = this->Reader.feed(
-          std::string_view(static_cast<char *>(Span.iov_base), Span.iov_len),
-          Consumed);
-      this->Feeding = false;
-      if (this->Call != Current) {
-        return; // The call was aborted while its response was being read.
-      }
-      evbuffer_drain(Input, Consumed);
-      if (Result == FeedResult::NeedMore) {
-        continue;
-      }
-      if (Result == FeedResult::Complete && this->SkippingResponse) {
-        this->Reader.reset();
-        this->SkippingResponse = false;
-        continue;
-      }
-      this->Owner.finish(*this, Result == FeedResult::Complete
-                                    ? OutboundCallEnd::Complete
-                                    : OutboundCallEnd::Malformed);
-      return;
-    }
-  }
-
-  void handleDisconnect(short What) {
-    if (!this->Call.isValid()) {
-      this->Owner.discard(*this);
-      return;
-    }
-    bool Silent =
-        (What & BEV_EVENT_ERROR) != 0 && isUnanswered(EVUTIL_SOCKET_ERROR());
-    if (!this->Connected) {
-      this->Owner.finish(*this, Silent ? OutboundCallEnd::ConnectTimedOut
-                                       : OutboundCallEnd::ConnectFailed);
-      return;
-    }
-    bool CleanClose = (What & BEV_EVENT_EOF) != 0 &&
-                      (What & BEV_EVENT_ERROR) == 0 &&
-                      !this->SkippingResponse && this->Reader.headDone();
-    OutboundCallId Current = this->Call;
-    this->Feeding = true;
-    FeedResult Result = CleanClose ? this->Reader.end() : FeedResult::Malformed;
-    this->Feeding = false;
-    if (this->Call != Current) {
-      return;
-    }
-    this->KeepAlive = false;
-    OutboundCallEnd Unfinished =
-        Silent ? OutboundCallEnd::TimedOut : OutboundCallEnd::Broken;
-    this->Owner.finish(*this, Result == FeedResult::Complete
-                                  ? OutboundCallEnd::Complete
-                                  : Unfinished);
-  }
-
-  static void onRead(bufferevent *, void *Arg) {
-    static_cast<Connection *>(Arg)->read();
-  }
-  static void onEvent(bufferevent *, short What, void *Arg) {
-    Connection *C = static_cast<Connection *>(Arg);
-    if ((What & BEV_EVENT_CONNECTED) != 0) {
-      C->Connected = true;
-      event_del(C->ConnectTimer);
-      C->Owner.Events.onConnected(C->Call,
-                                  ProcessClock::now() - C->ConnectStartedAt);
-      C->Owner.send(*C);
-      return;
-    }
-    C->handleDisconnect(What);
-  }
-  static void onConnectTimeout(evutil_socket_t, short, void *Arg) {
-    Connection *C = static_cast<Connection *>(Arg);
-    C->Owner.finish(*C, OutboundCallEnd::ConnectTimedOut);
-  }
-};
-
 PooledHttpClient::PooledHttpClient(event_base *Base, OutboundCallEvents &Events,
                                    MemoryBudget *Budget)
     : Base(Base), Events(Events), Budget(Budget) {
@@ -277,8 +97,8 @@
 OutboundCallId PooledHttpClient::start(OutboundCall Call) {
   OutboundCallId Id{this->NextId++};
   PoolKey Key{Call.To.text(), Call.ServerIdentity};
-  Connection *C =
-      Call.MaxIdleTime.count() > 0 ? this->takeIdle(Key, Call) : nullptr;
+  bool MayReuse = Call.MaxIdleTime.count() > 0 && !Call.Through;
+  Connection *C = MayReuse ? this->takeIdle(Key, Call) : nullptr;
   if (C != nullptr) {
     ++this->Counts.Reused;
     C->Reused = true;
@@ -299,6 +119,10 @@
   C->Tag = Call.Tag;
   C->Bytes = std::move(Call.Bytes);
   C->Body = std::move(Call.Body);
+  if (Call.Through) {
+    C->State = Connection::TunnelState::Opening;
+    C->TunnelRequestBytes = encodeTunnelRequest(Call.Through->Request);
+  }
   if (this->Budget != nullptr) {
     this->Budget->addConnection();
     this->Budget->addShared(ConnectionBytes);
@@ -322,22 +146,12 @@
   event_add(C->ConnectTimer, &Limit);
   this->Active[Id] = C;
   this->Connections[C->Id] = std::move(Created);
-  sockaddr_in To = toSockaddr(Call.To);
+  sockaddr_in To = toSockaddr(Call.Through ? Call.Through->Peer : Call.To);
   // libevent reports a failure to connect in the next iteration of the loop.
   bufferevent_socket_connect(C->Socket, reinterpret_cast<sockaddr *>(&To),
                              sizeof(To));
   Fd = bufferevent_getfd(C->Socket);
-  int One = 1;
-  setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
-  setsockopt(Fd, SOL_SOCKET, SO_KEEPALIVE, &One, sizeof(One));
-  setsockopt(Fd, IPPROTO_TCP, TCP_KEEPIDLE, &TcpKeepAliveIdleSeconds,
-             sizeof(int));
-  setsockopt(Fd, IPPROTO_TCP, TCP_KEEPINTVL, &TcpKeepAliveIntervalSeconds,
-             sizeof(int));
-  setsockopt(Fd, IPPROTO_TCP, TCP_KEEPCNT, &TcpKeepAliveProbeCount,
-             sizeof(int));
-  setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs,
-             sizeof(TcpUserTimeoutMs));
+  setTcpOptions(Fd);
   return Id;
 }
 
@@ -406,7 +220,9 @@
 
 void PooledHttpClient::returnToPool(Connection &C) {
   std::deque<Connection *> &List = this->Idle[C.Key];
-  if (List.size() >= MaxIdlePerAddress || !C.Connected) {
+  // What a peer knows of the target may change between two requests.
+  bool IsTunnel = C.State != Connection::TunnelState::None;
+  if (List.size() >= MaxIdlePerAddress || !C.Connected || IsTunnel) {
     this->discard(C);
     return;
   }
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -8,6 +8,7 @@
 #include "http_message_p.h"
 #include "memory_budget_p.h"
 #include "shallotlatch/settings.h"
+#include "tunnel_codec_p.h"
 
 #include <event2/event.h>
 
@@ -34,11 +35,14 @@
   /// The connection was given up, as the server's machine stopped answering.
   TimedOut,
   Malformed, ///< The bytes received are not a valid response.
+  /// The peer gave no tunnel; no byte of the request was sent.
+  TunnelRefused,
 };
 /// Whether \p E shows that no byte of the request was sent.
 constexpr bool isUnsent(OutboundCallEnd E) {
   return E == OutboundCallEnd::ConnectFailed ||
-         E == OutboundCallEnd::ConnectTimedOut;
+         E == OutboundCallEnd::ConnectTimedOut ||
+         E == OutboundCallEnd::TunnelRefused;
 }
 
 const char *name(OutboundCallEnd E);
@@ -56,6 +60,10 @@
   virtual ~OutboundCallEvents() = default;
   /// A new connection for the call was established in the given time.
   virtual void onConnected(OutboundCallId, Duration) {}
+  /// A peer answered whether it gives a tunnel for the call; nothing: it could
+  /// not be reached or did not answer. A refusal is followed by `onEnd`.
+  virtual void onTunnelAnswer(OutboundCallId,
+                              const std::optional<TunnelAnswer> &) {}
   /// Bytes of the request are about to be sent. If this returns false, nothing
   /// is sent and no event follows.
   virtual bool onSending(OutboundCallId Call) = 0;
@@ -64,6 +72,12 @@
   virtual void onEnd(OutboundCallId Call, OutboundCallEnd End) = 0;
 };
 
+/// A peer through which a call goes, and what it is asked for.
+struct TunnelHop {
+  Address Peer;
+  TunnelRequest Request;
+};
+
 /// A serialized request and where to send it.
 struct OutboundCall {
   Address To;
@@ -76,7 +90,11 @@
   /// connection that carried an error to a call with the same tag, since the
   /// server may write that answer again.
   uint64_t Tag = 0;
+  /// Time until the request can be sent, that of a tunnel's opening included.
   Duration ConnectTimeout = millis(500);
+  /// Set if a peer passes the call on. It gets a connection of its own, and the
+  /// address is not used.
+  std::optional<TunnelHop> Through;
   /// Longest time for which a reused connection may have been idle. Zero forces
   /// a new connection.
   Duration MaxIdleTime = seconds(30);
