--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -293,6 +293,7 @@
   this->chooseOwners(Now, Leaving);
   this->updateRolloutTouch(Now);
   this->removeSilentPeers(Now);
+  this->chooseTunnelPeers(Now);
 }
 
 void FleetExchange::applyFleetSize(uint32_t Heard, uint32_t Serving) {
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -35,6 +35,17 @@
 std::vector<HostId> historyHostsToAsk(const std::vector<StreamPeer> &Peers,
                                       uint32_t Turn);
 
+/// A peer, as far as it matters for whom is asked for tunnels.
+struct TunnelCandidate {
+  TunnelPeer Peer;
+  bool Heard = false; ///< Was heard lately.
+};
+/// Returns some of the peers of the own failure domain and of others, those
+/// that were heard first. \p Asking: the host that asks; hosts get different
+/// peers, so that the load of a domain that lost its paths is spread.
+std::vector<TunnelPeer>
+tunnelPeers(const std::vector<TunnelCandidate> &Candidates, HostId Asking);
+
 class FleetExchange : public FleetLinkEvents {
 public:
   FleetExchange(event_base *Base, const FleetHost &Self, RequestRelay &Relay,
@@ -72,6 +83,8 @@
   /// Sets the hosts that share the limits which targets name.
   void shareLimits();
   void removeSilentPeers(Time Now);
+  /// Names the peers that may pass requests on to targets.
+  void chooseTunnelPeers(Time Now);
   std::vector<StreamPeer> streamPeers(Time Now) const;
   /// Sends \p Asks to each of \p Hosts.
   void askStreams(const std::vector<StreamAsk> &Asks,
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "http_server_p.h"
 #include "relay_p.h"
 #include "sockets_p.h"
+#include "tunnel_server_p.h"
 
 #include "shallotlatch/model.h"
 
@@ -46,6 +47,11 @@
 // add some.
 static constexpr uint32_t OwnDescriptors = 64;
 
+// Number of descriptors for each tunnel that peers may have open here, which
+// takes two of them, and the number of tunnels on a small host.
+static constexpr uint32_t DescriptorsPerTunnel = 16;
+static constexpr uint32_t MinTunnels = 16;
+
 static std::string readFile(const std::string &Path) {
   std::ifstream In(Path);
   std::stringstream Text;
@@ -60,7 +66,7 @@
          static_cast<uint64_t>(Now.tv_nsec / 1000000);
 }
 
-struct Gateway::Parts : public DirectoryEvents {
+struct Gateway::Parts : public DirectoryEvents, public TunnelServerEvents {
   GatewaySettings Host;
   std::string SettingsPath;
   std::string SettingsText;
@@ -70,6 +76,7 @@
   std::unique_ptr<FleetDirectory> Directory;
   std::unique_ptr<RequestRelay> Relay;
   std::unique_ptr<FleetExchange> Exchange;
+  std::unique_ptr<TunnelServer> Tunnels;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> LoopEvents;
@@ -137,6 +144,12 @@
     this->Exchange = std::make_unique<FleetExchange>(
         this->Base, this->Self, *this->Relay, *this->Directory);
     this->Relay->setPlacementChannel(this->Exchange->link());
+    TunnelServerInit TunnelOptions;
+    TunnelOptions.ListenAddress = Host.Peer;
+    TunnelOptions.MaxTunnels =
+        std::max(MinTunnels, Host.Descriptors / DescriptorsPerTunnel);
+    this->Tunnels = std::make_unique<TunnelServer>(
+        this->Base, TunnelOptions, *this, this->Relay->budget());
     HttpServerInit Ready;
     Ready.ListenAddress = Host.Ready;
     this->ReadyServer = std::make_unique<HttpServer>(
@@ -180,6 +193,7 @@
     }
     this->ReadyServer.reset();
     this->MetricsServer.reset();
+    this->Tunnels.reset();
     this->Exchange.reset();
     this->Relay.reset();
     this->Store.reset();
@@ -268,6 +282,13 @@
     this->Relay->countNotices(SaidLeaving, Paused);
     M.setGauge("targets_said_leaving", SaidLeaving);
     M.setGauge("targets_paused", Paused);
+    TargetPathStats Paths = this->Relay->pathStats();
+    M.setGauge("paths_lost", Paths.Lost);
+    M.setGauge("isolated", Paths.Isolated ? 1 : 0);
+    TunnelServerStats Tunnels = this->Tunnels->stats();
+    M.setGauge("tunnels_open", Tunnels.Open);
+    M.setGauge("tunnels_opened", static_cast<double>(Tunnels.Opened));
+    M.setGauge("tunnels_refused", static_cast<double>(Tunnels.Refused));
     if (this->Relay->rollouts() != nullptr) {
       this->setRolloutGauges(M);
     }
@@ -305,6 +326,7 @@
     this->StopDeadline =
         this->StopRequestedAt + this->Host.StopGrace - FinalResponseMargin;
     this->Relay->drain(this->StopRequestedAt + BalancerRemovalDelay);
+    this->Tunnels->stop();
     logImportantEvent("stop", {{"why", Cause},
                                {"held", this->Relay->stats().HeldRequests},
                                {"grace-ms", toMillis(this->Host.StopGrace)}});
@@ -316,7 +338,7 @@
   void continueStop(Time Now) {
     if (Now - this->StopRequestedAt > BalancerRemovalDelay) {
       this->Relay->closeIdleConnections();
-      if (this->Relay->idle() &&
+      if (this->Relay->idle() && this->Tunnels->idle() &&
           this->Relay->frontendStats().Connections == 0) {
         event_base_loopbreak(this->Base);
         return;
@@ -420,6 +442,17 @@
   void onConfirmed(uint64_t ConfigVersion) override {
     this->Exchange->onConfirmed(ConfigVersion);
   }
+  // Implementation of TunnelServerEvents.
+  std::variant<Address, TunnelRefusal>
+  onTunnelRequest(const TunnelRequest &Request) override {
+    if (this->Exchange->link().peers().count(Request.From) == 0) {
+      return TunnelRefusal::UnknownHost;
+    }
+    return this->Relay->tunnelTo(Request);
+  }
+  TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) override {
+    return this->Relay->tunnelFailure(Request);
+  }
   void onStoreReachable(bool Reachable) override {
     logImportantEvent(Reachable ? "store-regained" : "store-lost",
                       LogFields::object());
--- a/src/paths/target_paths.cpp
+++ b/src/paths/target_paths.cpp
@@ -19,6 +19,9 @@
 static constexpr Duration SilenceBeforeProbe = seconds(1);
 static constexpr size_t MinSilentTargets = 2;
 static constexpr Duration SilenceProbeInterval = millis(500);
+// Time for which an own connection shows that this host reaches targets. Hosts
+// with little to do seldom connect anew.
+static constexpr Duration ConnectMemory = seconds(2);
 // Time until a lost path is probed; it doubles with each failure.
 static constexpr Duration MinProbeDelay = millis(500);
 static constexpr Duration MaxProbeDelay = seconds(4);
@@ -74,6 +77,11 @@
          (!this->LastSign || Now - *this->LastSign > IsolationSilence);
 }
 
+bool TargetPaths::reachesTargets(Time Now) const {
+  return this->LastConnect && Now - *this->LastConnect < ConnectMemory &&
+         !this->isIsolated(Now);
+}
+
 TargetPathStats TargetPaths::stats(Time Now) const {
   return {this->LostCount, this->isIsolated(Now)};
 }
@@ -166,6 +174,7 @@
   Path *P = this->find(Target);
   if (P != nullptr) {
     this->noteSign(Now);
+    this->LastConnect = Now;
     this->setLost(*P, false);
     P->FailedAt.reset();
     P->ProbeDelay = Duration(0);
--- a/src/paths/target_paths_p.h
+++ b/src/paths/target_paths_p.h
@@ -96,6 +96,9 @@
   bool isLost(TargetRunId Target) const;
   /// Whether this host has lost the paths to all targets, as far as it knows.
   bool isIsolated(Time Now) const;
+  /// Whether this host has made connections to targets lately, so that a
+  /// failure to connect to one of them is that target's.
+  bool reachesTargets(Time Now) const;
   TargetPathStats stats(Time Now) const;
 
 private:
@@ -124,7 +127,8 @@
   std::unordered_map<TargetRunId, Path> Paths;
   std::map<HostId, PeerState> Peers;
   uint32_t LostCount = 0;
-  std::optional<Time> LastSign; ///< Last success on any own connection.
+  std::optional<Time> LastSign;    ///< Last success on any own connection.
+  std::optional<Time> LastConnect; ///< Last own connection established.
   Time NextSilenceProbeAt;
 };
 
--- a/src/paths/tunnel_codec.cpp
+++ b/src/paths/tunnel_codec.cpp
@@ -31,21 +31,35 @@
   return "unknown";
 }
 
-std::string frameHead(size_t Length) {
+static std::string encodeHead(uint32_t Value) {
   std::string Head(FrameHeadBytes, '\0');
   for (size_t I = 0; I < FrameHeadBytes; ++I) {
-    Head[I] = static_cast<char>((Length >> (8 * I)) & 0xff);
+    Head[I] = static_cast<char>((Value >> (8 * I)) & 0xff);
   }
   return Head;
 }
 
-std::optional<size_t> frameLength(std::string_view Head) {
-  size_t Length = 0;
+std::string frameHead(size_t Length) {
+  return encodeHead(static_cast<uint32_t>(Length));
+}
+
+std::string tunnelEnd(TunnelEnd End) {
+  return encodeHead(static_cast<uint32_t>(End));
+}
+
+std::optional<FrameHead> decodeFrameHead(std::string_view Head) {
+  uint32_t Value = 0;
   for (size_t I = 0; I < FrameHeadBytes; ++I) {
-    Length |= static_cast<size_t>(static_cast<unsigned char>(Head[I]))
-              << (8 * I);
+    Value |= static_cast<uint32_t>(static_cast<unsigned char>(Head[I]))
+             << (8 * I);
+  }
+  for (TunnelEnd End : {TunnelEnd::Closed, TunnelEnd::Broken}) {
+    if (Value == static_cast<uint32_t>(End)) {
+      return End;
+    }
   }
-  return Length <= MaxFrameBytes ? std::optional(Length) : std::nullopt;
+  return Value <= MaxFrameBytes ? std::optional<FrameHead>(size_t{Value})
+                                : std::nullopt;
 }
 
 static std::string frameOf(capnp::MessageBuilder &Message) {
--- a/src/paths/tunnel_codec_p.h
+++ b/src/paths/tunnel_codec_p.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace shallotlatch {
 
@@ -46,12 +47,18 @@
 /// may follow it.
 constexpr size_t FrameHeadBytes = 4;
 constexpr size_t MaxFrameBytes = 64 * 1024;
-/// Returns the head of a frame of \p Length bytes. An empty frame tells that
-/// the target closed its connection in order, which the end of a tunnel's
-/// connection does not tell.
+/// Heads without a frame, which tell how the target's connection ended. The end
+/// of the tunnel's own connection does not tell it.
+enum class TunnelEnd : uint32_t {
+  Closed = 0,          ///< The target closed it in order.
+  Broken = UINT32_MAX, ///< It was reset, or the target fell silent.
+};
+std::string tunnelEnd(TunnelEnd End);
+/// Returns the head of a frame of \p Length bytes, at least one.
 std::string frameHead(size_t Length);
-/// Returns the length in \p Head, of FrameHeadBytes bytes; nothing if no frame
-/// is so long.
-std::optional<size_t> frameLength(std::string_view Head);
+/// Length of a frame, or the end of the target's connection.
+using FrameHead = std::variant<size_t, TunnelEnd>;
+/// Decodes FrameHeadBytes bytes; nothing if no frame is so long.
+std::optional<FrameHead> decodeFrameHead(std::string_view Head);
 
 } // namespace shallotlatch
--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstring>
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace shallotlatch {
 
@@ -19,6 +20,8 @@
 // Time for the connection to the target. The peer gives up a little later, so
 // that it learns which of the two could not be reached.
 static constexpr Duration TargetConnectTimeout = millis(500);
+// Time within which a peer closes a tunnel that has ended.
+static constexpr Duration CloseTimeout = seconds(1);
 // Bytes that wait in one direction of a tunnel, above which nothing more is
 // read for it.
 static constexpr size_t TunnelHighMark = 64 * 1024;
@@ -62,13 +65,16 @@
                                 {"why", name(Why)}});
     std::string Answer = encodeTunnelAnswer(Why);
     bufferevent_write(this->Peer, Answer.data(), Answer.size());
-    bufferevent_disable(this->Peer, EV_READ);
     this->Flushing = true;
   }
 
   // Reads the request; later, passes bytes on to the target.
   void readPeer() {
     evbuffer *Input = bufferevent_get_input(this->Peer);
+    if (this->Flushing) {
+      evbuffer_drain(Input, evbuffer_get_length(Input));
+      return;
+    }
     if (this->Open) {
       evbuffer *Output = bufferevent_get_output(this->Target);
       evbuffer_add_buffer(Output, Input);
@@ -77,7 +83,7 @@
       }
       return;
     }
-    if (this->Target != nullptr || this->Flushing) {
+    if (this->Target != nullptr) {
       return; // The request's bytes wait until the tunnel is open.
     }
     char Head[FrameHeadBytes];
@@ -85,9 +91,10 @@
         static_cast<ev_ssize_t>(sizeof(Head))) {
       return;
     }
-    std::optional<size_t> Length =
-        frameLength(std::string_view(Head, sizeof(Head)));
-    if (!Length) {
+    std::optional<FrameHead> Decoded =
+        decodeFrameHead(std::string_view(Head, sizeof(Head)));
+    const size_t *Length = Decoded ? std::get_if<size_t>(&*Decoded) : nullptr;
+    if (Length == nullptr) {
       this->Owner.remove(*this);
       return;
     }
@@ -162,8 +169,8 @@
     }
   }
 
-  // The peer cannot tell a close by the target from the end of this host, so
-  // only an empty frame stands for the former.
+  // The peer cannot tell an end by the target from the end of this host unless
+  // it is named.
   void endOfTarget(bool InOrder) {
     if (this->Flushing) {
       return;
@@ -174,20 +181,22 @@
       return;
     }
     this->readTarget();
-    if (InOrder) {
-      std::string End = frameHead(0);
-      bufferevent_write(this->Peer, End.data(), End.size());
-    }
-    bufferevent_disable(this->Peer, EV_READ);
+    std::string End =
+        tunnelEnd(InOrder ? TunnelEnd::Closed : TunnelEnd::Broken);
+    bufferevent_write(this->Peer, End.data(), End.size());
+    bufferevent_enable(this->Peer, EV_READ);
     bufferevent_disable(this->Target, EV_READ | EV_WRITE);
     this->Flushing = true;
     this->finishIfWritten();
   }
 
+  // A socket that is closed with unread bytes resets the connection, and the
+  // peer would lose the end of the answer. So the peer closes first.
   void finishIfWritten() {
     if (this->Flushing &&
         evbuffer_get_length(bufferevent_get_output(this->Peer)) == 0) {
-      this->Owner.remove(*this);
+      shutdown(bufferevent_getfd(this->Peer), SHUT_WR);
+      this->setTimer(CloseTimeout);
     }
   }
 
@@ -226,7 +235,7 @@
   }
   static void onTimer(evutil_socket_t, short, void *Arg) {
     Tunnel *T = static_cast<Tunnel *>(Arg);
-    if (T->Target != nullptr) {
+    if (T->Target != nullptr && !T->Flushing) {
       T->endOfTarget(false);
     } else {
       T->Owner.remove(*T);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -11,15 +11,6 @@
 
 namespace shallotlatch {
 
-// Longest idle time of a connection that is reused for a request that must not
-// run twice. The target may have closed a connection that was idle for longer,
-// and then it is unknown whether the request ran.
-static constexpr Duration NonRepeatableMaxIdleTime = millis(1000);
-// Longest idle time of a connection that is reused for a repeatable request.
-static constexpr Duration RepeatableMaxIdleTime = seconds(20);
-// A reachable target in the local failure domain accepts a connection within
-// this time. A lost packet is retransmitted only after one second.
-static constexpr Duration ConnectTimeout = millis(600);
 // Deadline of a request whose caller states none.
 static constexpr Duration DefaultDeadline = seconds(30);
 // Longest deadline of a caller that is read, in milliseconds.
@@ -40,7 +31,7 @@
     : Base(Base), Init(Init), StoreView(StoreView), Budget(Init.Memory),
       Frontend(Base, Frontend, *this, Budget),
       TargetClient(Base, *this, &Budget), Quota(Init.Slack),
-      Crashes(Init.Crashes),
+      Crashes(Init.Crashes), Paths(Init.Seed), Probes(Base, *this),
       Rollouts(Init.Rollouts ? std::make_unique<FleetRollouts>(*Init.Rollouts)
                              : nullptr),
       Origins(ProcessClock::now()),
@@ -404,27 +395,8 @@
             {"waited-ms", toMillis(P.Waited)},
             {"targets-age-ms", toMillis(this->StoreView.age(
                                    DirectoryKind::Targets, bootTime()))}});
-  OutboundCall Call;
-  Call.To = P.Target.At;
-  Call.ServerIdentity = P.Target.identity();
-  Call.Bytes = this->serializeRequest(R);
-  Call.Body = R.RequestBody;
-  Call.Tag = hash64(R.RequestId);
-  Call.ConnectTimeout = ConnectTimeout;
-  Call.MaxIdleTime = R.MatchedRoute->repeatable() ? RepeatableMaxIdleTime
-                                                  : NonRepeatableMaxIdleTime;
-  PlacementId Id = R.Id;
-  uint32_t Serial = ++R.SendSerial;
-  // On a reused connection, `start` calls `onSending` before it returns the
-  // call's id, so `onSending` finds the request through StartingRun.
-  this->StartingRun = Id;
-  OutboundCallId CallId = this->TargetClient.start(std::move(Call));
-  this->StartingRun = PlacementId();
-  RelayedRequest *Current = this->find(Id);
-  if (Current != nullptr && Current->Placed && Current->SendSerial == Serial) {
-    Current->Call = CallId;
-    this->RunByCall[CallId] = Id;
-  }
+  R.Ways = RouteAttempts();
+  this->startCall(R);
 }
 
 } // namespace shallotlatch
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -11,8 +11,6 @@
 
 // Limit on the bytes of one plain response or of one event of a stream.
 static constexpr size_t MaxResponseBytes = 8 * 1024 * 1024;
-// Failed connection attempts after which a request is refused.
-static constexpr uint32_t MaxConnectFailures = 4;
 // Limit on sends of one request, including those that targets refused to run.
 static constexpr uint32_t MaxTotalSends = 3;
 // A retry needs more than this time before the deadline.
@@ -48,6 +46,7 @@
     ++R->Attempts;
     ++R->TotalSends;
     R->SentAt = Now;
+    this->recordSentDirectly(*R, Now);
     this->recordRolloutSent(*R);
     return true;
   }
@@ -69,19 +68,13 @@
   return false;
 }
 
-void RequestRelay::onConnected(OutboundCallId Call, Duration Elapsed) {
-  const RelayedRequest *R = this->findByCall(Call);
-  if (R != nullptr) {
-    this->service(R->Service).Places->scheduler().connected(R->Id, Elapsed);
-  }
-}
-
 ResponseHeadAction RequestRelay::onHead(OutboundCallId Call, HttpHead &Head) {
   RelayedRequest *R = this->findByCall(Call);
   if (R == nullptr) {
     return ResponseHeadAction::Refuse;
   }
   const RelayHeaders &H = this->Init.Headers;
+  this->recordHeard(*R, ProcessClock::now());
   // Notices are true of the target whether or not the answer can be used.
   this->observeNotices(*R, Head);
   const std::string *Id = Head.find(H.RequestId);
@@ -155,6 +148,7 @@
   if (R == nullptr) {
     return;
   }
+  this->recordHeard(*R, ProcessClock::now());
   if (R->Body.size() + Part.size() > MaxResponseBytes) {
     R->MayHaveRun = true;
     // The call ends here, so its end does not count against the target.
@@ -276,6 +270,7 @@
   }
   R.Placed = false;
   R.Call = OutboundCallId();
+  this->endDirectAttempt(R);
   // Only the whole answer tells how long an answer is.
   bool Whole =
       Sign == AttemptResult::Served && R.IsEventStream && R.AttemptFromStart;
@@ -332,8 +327,7 @@
   bool Success = End == OutboundCallEnd::Complete && R.Status < 300;
   if (Success || answerWellBegun(R)) {
     this->Crashes.onSurvived(R.Prints, Now);
-  } else if (End == OutboundCallEnd::Broken ||
-             End == OutboundCallEnd::TimedOut) {
+  } else if (End == OutboundCallEnd::Broken) {
     this->Crashes.onConnectionBroken(
         {R.Target.Instance, R.Target.shortIdentity(), R.Prints, R.SentAt}, Now);
   }
@@ -347,23 +341,19 @@
   }
   RelayedRequest &R = *Found;
   ServiceId Service = R.Service;
+  if (isUnsent(End)) {
+    this->retryUnsent(R, End);
+    this->dispatch(Service);
+    return;
+  }
   R.Tried.push_back(R.Target.Instance);
+  if (End == OutboundCallEnd::TimedOut) {
+    this->recordSilence(R);
+  }
   if (End == OutboundCallEnd::Complete && endsWithinEvent(R)) {
     End = OutboundCallEnd::Broken;
   }
-  if (isUnsent(End)) {
-    this->Crashes.onTargetDied(R.Target.shortIdentity(), ProcessClock::now());
-    this->releasePlace(R, AttemptResult::Unreachable);
-    logEvent("connect-failed", {{"id", R.RequestId},
-                                {"target", R.Target.Instance},
-                                {"how", name(End)}});
-    if (++R.ConnectFailures < MaxConnectFailures) {
-      this->place(R);
-    } else {
-      this->refuseOrFail(R, "no target could be reached",
-                         this->retryAfterNotRun(R));
-    }
-  } else if (End == OutboundCallEnd::Complete && R.NotRun) {
+  if (End == OutboundCallEnd::Complete && R.NotRun) {
     --R.Attempts;
     this->releasePlace(R, AttemptResult::Full);
     if (!this->tryRetry(R, "the target did not run it")) {
@@ -383,7 +373,11 @@
   } else {
     this->recordCrashEvidence(R, End);
     this->recordRolloutEnd(R, RolloutEnd::Broken);
-    this->releasePlace(R, AttemptResult::Lost);
+    // Silence and the end of a tunnel are the path's.
+    bool OfTarget =
+        End == OutboundCallEnd::Broken || End == OutboundCallEnd::Malformed;
+    this->releasePlace(R,
+                       OfTarget ? AttemptResult::Lost : AttemptResult::Unknown);
     R.MayHaveRun = true;
     const std::string *Parts =
         R.Request.Head.find(this->Init.Headers.PromptParts);
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -3,6 +3,7 @@
 /// to its verdict and decides whether it may be sent again.
 #pragma once
 
+#include "connect_probe_p.h"
 #include "crash_guard_p.h"
 #include "directory_p.h"
 #include "fleet_quota_p.h"
@@ -12,6 +13,7 @@
 #include "retry_budget_p.h"
 #include "service_places_p.h"
 #include "stream_origins_p.h"
+#include "target_paths_p.h"
 #include "wire_client_p.h"
 
 #include "shallotlatch/verdict.h"
@@ -82,7 +84,9 @@
 };
 
 /// Holds callers' requests and forwards each to a target of its service.
-class RequestRelay : public FrontendEvents, public OutboundCallEvents {
+class RequestRelay : public FrontendEvents,
+                     public OutboundCallEvents,
+                     public ConnectProbeEvents {
 public:
   RequestRelay(event_base *Base, const FrontendInit &Frontend,
                const RelayInit &Init, const FleetDirectory &StoreView);
@@ -149,7 +153,7 @@
   PooledHttpClientStats targetClientStats() const {
     return this->TargetClient.stats();
   }
-  const MemoryBudget &budget() const { return this->Budget; }
+  MemoryBudget &budget() { return this->Budget; }
   bool idle() const { return this->Requests.empty(); }
   bool hasStreamAsks() const { return !this->UnsentAsks.empty(); }
   /// Takes the streams whose versions peers are to be asked for.
@@ -166,6 +170,21 @@
   /// Returns the time for which streams that have begun may still go on.
   Duration longestStreamLife() const;
 
+  /// Sets the peers that may pass requests on to targets.
+  void setTunnelPeers(std::vector<TunnelPeer> Peers) {
+    this->Paths.setPeers(std::move(Peers));
+  }
+  /// Returns the target's address for a tunnel that a peer asks for, or why
+  /// there is none.
+  std::variant<Address, TunnelRefusal>
+  tunnelTo(const TunnelRequest &Request) const;
+  /// Returns what a peer is told of a target to which this host could not
+  /// connect for it.
+  TunnelRefusal tunnelFailure(const TunnelRequest &Request);
+  TargetPathStats pathStats() const {
+    return this->Paths.stats(ProcessClock::now());
+  }
+
   // FrontendEvents
   void onCallerRequest(FrontendRequest &&Request) override;
   void onCallerDisconnected(ExchangeId Exchange) override;
@@ -174,10 +193,14 @@
   bool onConnectionsFull() override;
   // OutboundCallEvents
   void onConnected(OutboundCallId Call, Duration Elapsed) override;
+  void onTunnelAnswer(OutboundCallId Call,
+                      const std::optional<TunnelAnswer> &Answer) override;
   bool onSending(OutboundCallId Call) override;
   ResponseHeadAction onHead(OutboundCallId Call, HttpHead &Head) override;
   void onBody(OutboundCallId Call, std::string_view Part) override;
   void onEnd(OutboundCallId Call, OutboundCallEnd End) override;
+  // ConnectProbeEvents
+  void onProbeEnd(TargetRunId Target, bool Connected) override;
 
 private:
   /// State of one request from its arrival to its verdict.
@@ -212,6 +235,12 @@
     std::vector<std::string> Tried;
     TargetEntry Target;
     OutboundCallId Call;
+    RouteAttempts Ways; ///< Ways to Target that were tried.
+    /// Peer that passes the current attempt on; nothing: an own connection.
+    std::optional<TunnelPeer> Through;
+    /// An own connection to Target carries the attempt, and may fall silent.
+    bool AwaitedDirectly = false;
+    Time HeardAt; ///< Last bytes of the current attempt's answer.
     Time SentAt;
     Time FirstEventAt;
     Time AnswerBegunAt; ///< First event of the current attempt.
@@ -308,6 +337,22 @@
   void schedulePlacementMessages();
   void sendPlacementMessages();
   void send(RelayedRequest &R, const PlacedRequest &P);
+  /// Starts the call to the target by the next way that is left. Returns false
+  /// if there is none.
+  bool startCall(RelayedRequest &R);
+  /// Tries another way to the target, or another target, after a call of which
+  /// no byte was sent.
+  void retryUnsent(RelayedRequest &R, OutboundCallEnd End);
+  void recordSentDirectly(RelayedRequest &R, Time Now);
+  void recordHeard(RelayedRequest &R, Time Now);
+  void endDirectAttempt(RelayedRequest &R);
+  /// Takes over that an own connection fell silent.
+  void recordSilence(const RelayedRequest &R);
+  void tickPaths(Time Now);
+  /// Ends calls on own connections that fell silent, as far as their requests
+  /// may run again, once this host has lost its paths.
+  void abandonSilentCalls(Time Now);
+  const TargetEntry *targetOfRun(TargetRunId Run) const;
   std::string serializeRequest(const RelayedRequest &R) const;
   bool tryRetry(RelayedRequest &R, const char *Cause);
   /// Whether a stream that has ended was broken off, as far as its framing does
@@ -344,6 +389,10 @@
   PooledHttpClient TargetClient;
   FleetQuota Quota;
   CrashGuard Crashes;
+  TargetPaths Paths;
+  ConnectProbes Probes;
+  Time NextPathTick;
+  bool LoggedIsolated = false;
   std::unique_ptr<FleetRollouts> Rollouts; ///< nullptr: turned off.
   StreamOrigins Origins;
   std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -66,8 +66,12 @@
   this->RemovedTargets.erase(Target.shortIdentity());
   if (It != this->Targets.end()) {
     this->ServiceOfTarget.erase(It->second.shortIdentity());
+    if (It->second.shortIdentity() != Target.shortIdentity()) {
+      this->Paths.removeTarget(TargetRunId{It->second.shortIdentity()});
+    }
   }
   this->ServiceOfTarget[Target.shortIdentity()] = Target.Service;
+  this->Paths.addTarget(TargetRunId{Target.shortIdentity()});
   this->Targets[Target.Instance] = Target;
   this->Origins.recordServing(Target.Service, softwareId(Target.Software),
                               ProcessClock::now());
@@ -95,6 +99,7 @@
   this->Crashes.onTargetDied(It->second.shortIdentity(), Now);
   this->TargetClient.dropIdle(It->second.At, It->second.identity());
   this->ServiceOfTarget.erase(It->second.shortIdentity());
+  this->Paths.removeTarget(TargetRunId{It->second.shortIdentity()});
   ServiceId Service = It->second.Service;
   if (this->Rollouts) {
     this->Rollouts->of(Service, false).onTargetGone(It->second);
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -42,6 +42,8 @@
     return "malformed";
   case OutboundCallEnd::TunnelRefused:
     return "tunnel-refused";
+  case OutboundCallEnd::TunnelLost:
+    return "tunnel-lost";
   }
   return "unknown";
 }
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -37,6 +37,8 @@
   Malformed, ///< The bytes received are not a valid response.
   /// The peer gave no tunnel; no byte of the request was sent.
   TunnelRefused,
+  /// The tunnel broke, which says nothing of the server.
+  TunnelLost,
 };
 /// Whether \p E shows that no byte of the request was sent.
 constexpr bool isUnsent(OutboundCallEnd E) {
--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -166,43 +166,55 @@
     return false;
   }
 
-  // Returns the length of the frame that begins the input, once its head is
-  // there; ends the call if there is no such frame.
-  std::optional<size_t> peekFrame() {
+  // Returns what begins the input, once its head is there; ends the call if
+  // that is no frame.
+  std::optional<FrameHead> peekFrame() {
     char Head[FrameHeadBytes];
     evbuffer *Input = bufferevent_get_input(this->Socket);
     if (evbuffer_copyout(Input, Head, sizeof(Head)) <
         static_cast<ev_ssize_t>(sizeof(Head))) {
       return std::nullopt;
     }
-    std::optional<size_t> Length =
-        frameLength(std::string_view(Head, sizeof(Head)));
-    if (!Length) {
+    std::optional<FrameHead> Decoded =
+        decodeFrameHead(std::string_view(Head, sizeof(Head)));
+    if (!Decoded) {
       this->endUnreadable();
     }
-    return Length;
+    return Decoded;
   }
 
   // Returns whether bytes of the answer follow.
   bool readFrameHead() {
-    std::optional<size_t> Length = this->peekFrame();
-    if (!Length) {
+    std::optional<FrameHead> Head = this->peekFrame();
+    if (!Head) {
       return false;
     }
     evbuffer_drain(bufferevent_get_input(this->Socket), FrameHeadBytes);
-    this->FrameLeft = *Length;
-    if (*Length > 0) {
+    if (const size_t *Length = std::get_if<size_t>(&*Head)) {
+      this->FrameLeft = *Length;
       return true;
     }
-    this->endOfAnswer(OutboundCallEnd::Broken);
+    if (std::get<TunnelEnd>(*Head) == TunnelEnd::Closed) {
+      this->endOfAnswer(OutboundCallEnd::Broken);
+    } else {
+      this->Owner.finish(*this, OutboundCallEnd::Broken);
+    }
     return false;
   }
 
   // Returns whether the tunnel is open.
   bool readTunnelAnswer() {
-    std::optional<size_t> Length = this->peekFrame();
+    std::optional<FrameHead> Head = this->peekFrame();
     evbuffer *Input = bufferevent_get_input(this->Socket);
-    if (!Length || evbuffer_get_length(Input) < FrameHeadBytes + *Length) {
+    if (!Head) {
+      return false;
+    }
+    const size_t *Length = std::get_if<size_t>(&*Head);
+    if (Length == nullptr) {
+      this->endRefused(std::nullopt);
+      return false;
+    }
+    if (evbuffer_get_length(Input) < FrameHeadBytes + *Length) {
       return false;
     }
     evbuffer_drain(Input, FrameHeadBytes);
@@ -237,7 +249,7 @@
     if (this->State == TunnelState::Opening) {
       this->endRefused(std::nullopt);
     } else {
-      this->Owner.finish(*this, OutboundCallEnd::Malformed);
+      this->Owner.finish(*this, OutboundCallEnd::TunnelLost);
     }
   }
 
@@ -275,15 +287,14 @@
       return;
     }
     bool CleanClose = (What & BEV_EVENT_EOF) != 0 && !IsError;
-    // The end of a peer's connection says nothing of the server's.
-    if (CleanClose && this->State == TunnelState::None) {
+    if (this->State == TunnelState::Open) {
+      this->Owner.finish(*this, OutboundCallEnd::TunnelLost);
+    } else if (CleanClose) {
       this->endOfAnswer(OutboundCallEnd::Broken);
-      return;
+    } else {
+      this->Owner.finish(*this, Silent ? OutboundCallEnd::TimedOut
+                                       : OutboundCallEnd::Broken);
     }
-    this->KeepAlive = false;
-    this->Owner.finish(*this, Silent && this->State == TunnelState::None
-                                  ? OutboundCallEnd::TimedOut
-                                  : OutboundCallEnd::Broken);
   }
 
   static void onRead(bufferevent *, void *Arg) {
