Streams: a peer's guess is no knowledge of the version that began a stream

A peer whose view of the targets is behind, as its watch is silent, it was frozen or its reads may be stale, has missed the other version.

Answers now tell a guess from knowledge. Knowledge from any peer decides at once and alone is kept. Guesses decide once all peers have answered or the wait is over, and only if none differs: neither a peer nor this host has seen a second version. Releases before this one still answer guesses as known.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -238,6 +238,9 @@
   answers @3 :List(StreamGroup); # To the asks of an earlier message.
   longestLifeMs @4 :UInt32;  # Time for which streams may still go on, as far as
                              # the sender knows.
+  guesses @5 :List(StreamGroup); # To asks for streams that the sender does not
+                             # know: the only version that it has seen; 0: it
+                             # has seen several.
 }
 
 struct Datagram {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -401,7 +401,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(acd99c4f03d12487, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(acd99c4f03d12487, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2888,6 +2888,9 @@
 
   inline  ::uint32_t getLongestLifeMs() const;
 
+  inline bool hasGuesses() const;
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getGuesses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2943,6 +2946,13 @@
   inline  ::uint32_t getLongestLifeMs();
   inline void setLongestLifeMs( ::uint32_t value);
 
+  inline bool hasGuesses();
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getGuesses();
+  inline void setGuesses( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initGuesses(unsigned int size);
+  inline void adoptGuesses(::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> disownGuesses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5594,6 +5604,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StreamNews::Reader::hasGuesses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNews::Builder::hasGuesses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader StreamNews::Reader::getGuesses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::getGuesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StreamNews::Builder::setGuesses( ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder StreamNews::Builder::initGuesses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void StreamNews::Builder::adoptGuesses(
+    ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>> StreamNews::Builder::disownGuesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlatch::fleetwire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::shallotlatch::fleetwire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet_codec.cpp
+++ b/src/fleet_codec.cpp
@@ -413,11 +413,14 @@
 
 using NotesByVersion = std::map<SoftwareId, std::vector<StreamId>>;
 
-static NotesByVersion groupNotes(const std::vector<StreamNote> &Notes) {
+static NotesByVersion groupNotes(const std::vector<StreamNote> &Notes,
+                                 bool Guesses = false) {
   NotesByVersion Groups;
   size_t Count = std::min(Notes.size(), MaxStreamNotes);
   for (size_t I = 0; I < Count; ++I) {
-    Groups[Notes[I].Software].push_back(Notes[I].Stream);
+    if (Notes[I].IsGuess == Guesses) {
+      Groups[Notes[I].Software].push_back(Notes[I].Stream);
+    }
   }
   return Groups;
 }
@@ -446,6 +449,8 @@
   writeNotes(Notes, B.initNotes(static_cast<unsigned>(Notes.size())));
   NotesByVersion Answers = groupNotes(News.Answers);
   writeNotes(Answers, B.initAnswers(static_cast<unsigned>(Answers.size())));
+  NotesByVersion Guesses = groupNotes(News.Answers, true);
+  writeNotes(Guesses, B.initGuesses(static_cast<unsigned>(Guesses.size())));
   auto Asks = B.initAsks(wireCount(News.Asks.size(), MaxStreamNotes));
   for (unsigned I = 0; I < Asks.size(); ++I) {
     Asks[I].setStream(News.Asks[I].Stream.Value);
@@ -455,11 +460,13 @@
 }
 
 static std::vector<StreamNote>
-readNotes(capnp::List<fleetwire::StreamGroup>::Reader List) {
+readNotes(capnp::List<fleetwire::StreamGroup>::Reader List,
+          bool Guesses = false) {
   std::vector<StreamNote> Notes;
   for (fleetwire::StreamGroup::Reader Group : List) {
     for (uint32_t Stream : Group.getStreams()) {
-      Notes.push_back({StreamId{Stream}, SoftwareId{Group.getSoftware()}});
+      Notes.push_back(
+          {StreamId{Stream}, SoftwareId{Group.getSoftware()}, Guesses});
     }
   }
   return Notes;
@@ -471,6 +478,8 @@
   News.LongestLife = millis(R.getLongestLifeMs());
   News.Notes = readNotes(R.getNotes());
   News.Answers = readNotes(R.getAnswers());
+  std::vector<StreamNote> Guesses = readNotes(R.getGuesses(), true);
+  News.Answers.insert(News.Answers.end(), Guesses.begin(), Guesses.end());
   for (fleetwire::StreamAsk::Reader A : R.getAsks()) {
     News.Asks.push_back({StreamId{A.getStream()}, ServiceId{A.getService()}});
   }
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -253,6 +253,8 @@
     StreamId Stream;
     Time Until;
     uint32_t Unanswered = 0; ///< Peers that were asked and have not answered.
+    std::set<SoftwareId> Guesses; ///< Versions that peers guess.
+    bool VersionsDiffer = false;  ///< A peer has seen several versions.
   };
 
   /// How an attempt ended, as evidence for or against a version.
@@ -270,7 +272,8 @@
   /// Records the version that a stream began at or goes on at.
   void recordStream(RelayedRequest &R, Time Now);
   void placeOnceOriginIsKnown(RelayedRequest &R);
-  void placeBySoleVersion(RelayedRequest &R);
+  /// Places the request by what the hosts that do not know its stream guess.
+  void placeByGuess(RelayedRequest &R, const OriginWaitState &Told);
   /// Places the request, or refuses it if the version is not known.
   void placeWithOrigin(RelayedRequest &R, std::optional<SoftwareId> Software,
                        const char *How);
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -86,20 +86,34 @@
     return;
   }
   if (this->Hosts <= 1) {
-    this->placeBySoleVersion(R);
+    this->placeByGuess(R, OriginWaitState());
     return;
   }
-  this->OriginWaits[R.Id] = {Stream, ProcessClock::now() + OriginWait, 0};
+  OriginWaitState &Wait = this->OriginWaits[R.Id];
+  Wait.Stream = Stream;
+  Wait.Until = ProcessClock::now() + OriginWait;
   this->UnsentAsks.push_back({Stream, R.Service});
 }
 
-void RequestRelay::placeBySoleVersion(RelayedRequest &R) {
-  Time Now = ProcessClock::now();
-  std::optional<SoftwareId> Sole;
+// A host's view of the targets may be behind, so that it misses a version. The
+// guesses count only if none of them, this host's own included, differs.
+void RequestRelay::placeByGuess(RelayedRequest &R,
+                                const OriginWaitState &Told) {
+  std::set<SoftwareId> Guesses = Told.Guesses;
+  std::optional<SoftwareId> Own;
   if (this->StoreView.reachable()) {
-    Sole = this->Origins.soleVersion(R.Service, Now);
-  }
-  this->placeWithOrigin(R, Sole, "sole");
+    Own = this->Origins.soleVersion(R.Service, ProcessClock::now());
+  }
+  if (Own) {
+    Guesses.insert(*Own);
+  }
+  bool Differ = Told.VersionsDiffer || Guesses.size() > 1 ||
+                this->Origins.versions(R.Service) > 1;
+  this->placeWithOrigin(R,
+                        Differ || Guesses.empty()
+                            ? std::nullopt
+                            : std::optional(*Guesses.begin()),
+                        Own ? "sole" : "guessed");
 }
 
 void RequestRelay::placeWithOrigin(RelayedRequest &R,
@@ -125,7 +139,8 @@
   if (Wait == this->OriginWaits.end()) {
     return;
   }
-  StreamId Stream = Wait->second.Stream;
+  OriginWaitState Told = std::move(Wait->second);
+  StreamId Stream = Told.Stream;
   this->OriginWaits.erase(Wait);
   RelayedRequest *R = this->find(Id);
   if (R == nullptr) {
@@ -135,7 +150,7 @@
   if (Known) {
     this->placeWithOrigin(*R, Known, "peer");
   } else {
-    this->placeBySoleVersion(*R);
+    this->placeByGuess(*R, Told);
   }
 }
 
@@ -185,7 +200,13 @@
       OriginWaitState &Wait = Item.second;
       if (Wait.Stream == Answer.Stream) {
         Wait.Unanswered -= Wait.Unanswered > 0 ? 1 : 0;
-        if (Answer.Software.isValid() || Wait.Unanswered == 0) {
+        if (Answer.IsGuess && Answer.Software.isValid()) {
+          Wait.Guesses.insert(Answer.Software);
+        } else if (Answer.IsGuess) {
+          Wait.VersionsDiffer = true;
+        }
+        bool Known = Answer.Software.isValid() && !Answer.IsGuess;
+        if (Known || Wait.Unanswered == 0) {
           Answered.push_back(Item.first);
         }
       }
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -81,7 +81,7 @@
 void StreamOrigins::merge(const std::vector<StreamNote> &Notes, Time Now) {
   for (const StreamNote &Note : Notes) {
     bool IsStream = (Note.Stream.Value & 1U) != 0;
-    if (!IsStream || !Note.Software.isValid() ||
+    if (!IsStream || Note.IsGuess || !Note.Software.isValid() ||
         this->Known.size() >= MaxKnown) {
       continue;
     }
@@ -166,11 +166,16 @@
 StreamNote StreamOrigins::answer(const StreamAsk &Ask, bool ViewIsFresh,
                                  Time Now) const {
   StreamNote Note{Ask.Stream, SoftwareId()};
-  std::optional<SoftwareId> Software = this->find(Ask.Stream);
-  if (!Software && ViewIsFresh) {
-    Software = this->soleVersion(Ask.Service, Now);
+  std::optional<SoftwareId> Known = this->find(Ask.Stream);
+  if (Known) {
+    Note.Software = *Known;
+    return Note;
   }
-  Note.Software = Software.value_or(SoftwareId());
+  std::optional<SoftwareId> Sole =
+      ViewIsFresh ? this->soleVersion(Ask.Service, Now) : std::nullopt;
+  bool IsStream = (Ask.Stream.Value & 1U) != 0;
+  Note.IsGuess = IsStream && (Sole || this->versions(Ask.Service) > 1);
+  Note.Software = Sole.value_or(SoftwareId());
   return Note;
 }
 
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -22,10 +22,15 @@
 /// differs from the ids of streams.
 StreamId historyId(ServiceId Service);
 
-/// What a host knows of a stream.
+/// What a host knows of a stream, or guesses.
 struct StreamNote {
   StreamId Stream;
-  SoftwareId Software; ///< Invalid if the host does not know it.
+  /// Invalid if the host does not know it. Of a guess, the only version that
+  /// the host has seen; invalid if it has seen several.
+  SoftwareId Software;
+  /// The host does not know the stream. It may have missed a version, so any
+  /// other host may know better.
+  bool IsGuess = false;
 };
 
 /// A host's question for the version that began a stream.
@@ -88,7 +93,7 @@
   /// Returns the number of versions of \p Service at which a stream that can
   /// still go on may have begun, as far as this process has seen.
   size_t versions(ServiceId Service) const;
-  /// Answers a peer's question.
+  /// Answers a peer's question, by a guess if the stream is not known.
   StreamNote answer(const StreamAsk &Ask, bool ViewIsFresh, Time Now) const;
   /// Takes at most \p Limit notes for the hosts that replace this one. Empty
   /// while `soleVersion` tells the version without them.
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -141,3 +141,46 @@
   CHECK(contains(goOn("b1", "a1"), " 503 "));
   CHECK(ProcessClock::now() - Start < millis(1000));
 }
+
+// A host whose view of the targets is behind knows one version only, and may
+// answer before the host that knows the stream.
+TEST(StreamVersions, aGuessByAPeerIsNoKnowledgeOfAStream) {
+  ScriptedTarget &Old = H->target("i-1", "v1");
+  Old.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n",
+                Action::Keep, false}};
+  H->relay().setHosts(3);
+  std::unique_ptr<RelayHarness> Behind = std::make_unique<RelayHarness>();
+  std::unique_ptr<RelayHarness> Knowing = std::make_unique<RelayHarness>();
+  Behind->target("i-1", "v1");
+  Knowing->target("i-1", "v1");
+  ServiceId Service = serviceId("app");
+  StreamNews Told;
+  Told.Answers = {{historyId(Service), softwareId("v1")}};
+  Behind->relay().receive(Told);
+  StreamNews Notes;
+  for (int I = 0; I < 12; ++I) {
+    Notes.Notes.push_back(
+        {streamId("a" + std::to_string(I)), softwareId("v2")});
+  }
+  Knowing->relay().receive(Notes);
+  for (int I = 0; I < 12; ++I) {
+    std::string Began = "a" + std::to_string(I);
+    size_t Caller = H->connect();
+    H->send(Caller, "POST /resume/x HTTP/1.1\r\nHost: h\r\nX-Id: b" +
+                        std::to_string(I) +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
+                        "\r\nLast-Event-Id: 1\r\nX-Resumes: " +
+                        Began + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(H->runUntil([&] { return H->relay().hasStreamAsks(); }));
+    StreamNews Asked;
+    Asked.Asks = H->relay().takeStreamAsks(2);
+    for (RelayHarness *Peer : {Behind.get(), Knowing.get()}) {
+      StreamNews Reply;
+      Reply.Answers = Peer->relay().receive(Asked);
+      H->relay().receive(Reply);
+    }
+    CHECK(H->runUntil([&] { return !H->received(Caller).empty(); }));
+    CHECK(contains(H->received(Caller), " 503 "));
+  }
+  CHECK_EQUAL(0, Old.Requests.size());
+}
