Tunnels: what a target says of itself is told to both hosts

The peer now reads the head of the answer for these fields, and changes nothing of it. A target that a peer knows to leave or pause is no longer taken for dead.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -453,6 +453,10 @@
   TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) override {
     return this->Relay->tunnelFailure(Request);
   }
+  void onTunnelHead(const TunnelRequest &Request,
+                    const HttpHead &Head) override {
+    this->Relay->observeTunnelHead(Request, Head);
+  }
   void onStoreReachable(bool Reachable) override {
     logImportantEvent(Reachable ? "store-regained" : "store-lost",
                       LogFields::object());
--- a/src/paths/target_paths_p.h
+++ b/src/paths/target_paths_p.h
@@ -40,6 +40,8 @@
   std::vector<HostId> Peers; ///< They gave no tunnel.
   /// A peer that reaches other targets could not reach this one.
   bool TargetDown = false;
+  /// A peer knows that the target leaves or pauses.
+  bool TargetBarred = false;
 };
 
 /// How an own connection to a target failed.
--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration TargetConnectTimeout = millis(500);
 // Time within which a peer closes a tunnel that has ended.
 static constexpr Duration CloseTimeout = seconds(1);
+// Longest head of an answer that is read; the same as that of own calls.
+static constexpr uint32_t MaxAnswerHeadBytes = 64 * 1024;
 // Bytes that wait in one direction of a tunnel, above which nothing more is
 // read for it.
 static constexpr size_t TunnelHighMark = 64 * 1024;
@@ -29,7 +31,7 @@
 // what waits in both directions.
 static constexpr int64_t TunnelBytes = 4 * 64 * 1024;
 
-struct TunnelServer::Tunnel {
+struct TunnelServer::Tunnel : public HttpReaderEvents {
   TunnelServer &Owner;
   uint64_t Id = 0;
   bufferevent *Peer = nullptr;
@@ -40,8 +42,13 @@
   /// Nothing more comes from the target; the tunnel ends once all is written.
   bool Flushing = false;
 
-  explicit Tunnel(TunnelServer &Owner) : Owner(Owner) {}
-  ~Tunnel() {
+  HttpReader AnswerHead;
+  bool ReadsHead = true; ///< The head of the answer has not been read whole.
+
+  explicit Tunnel(TunnelServer &Owner)
+      : Owner(Owner),
+        AnswerHead(HttpRole::Responses, *this, MaxAnswerHeadBytes) {}
+  ~Tunnel() override {
     for (bufferevent *Side : {this->Peer, this->Target}) {
       if (Side != nullptr) {
         bufferevent_setcb(Side, nullptr, nullptr, nullptr, nullptr);
@@ -53,6 +60,24 @@
     }
   }
 
+  bool onHead(HttpHead &Head) override {
+    this->ReadsHead = false;
+    this->Owner.Events.onTunnelHead(this->Request, Head);
+    return false;
+  }
+  void onBody(std::string_view) override {}
+  void onComplete() override {}
+
+  // Bytes that are no answer are passed on all the same.
+  void readHead(evbuffer *Input) {
+    std::string Bytes(evbuffer_get_length(Input), '\0');
+    evbuffer_copyout(Input, Bytes.data(), Bytes.size());
+    size_t Consumed = 0;
+    if (this->AnswerHead.feed(Bytes, Consumed) != FeedResult::NeedMore) {
+      this->ReadsHead = false;
+    }
+  }
+
   void setTimer(Duration After) const {
     timeval T = toTimeval(After);
     event_add(this->Timer, &T);
@@ -158,6 +183,9 @@
   void readTarget() {
     evbuffer *Input = bufferevent_get_input(this->Target);
     evbuffer *Output = bufferevent_get_output(this->Peer);
+    if (this->ReadsHead && evbuffer_get_length(Input) > 0) {
+      this->readHead(Input);
+    }
     while (evbuffer_get_length(Input) > 0) {
       size_t Length = std::min(evbuffer_get_length(Input), MaxFrameBytes);
       std::string Head = frameHead(Length);
--- a/src/paths/tunnel_server_p.h
+++ b/src/paths/tunnel_server_p.h
@@ -1,9 +1,11 @@
 /// \file
 /// Passes calls of peers on to targets that they cannot reach themselves. It
 /// opens and splices connections, and leaves all decisions on the calls to the
-/// peers: what a tunnel carries is neither read nor changed.
+/// peers: it changes nothing of what a tunnel carries, and reads the head of
+/// the answer only for what the target says of itself.
 #pragma once
 
+#include "http_message_p.h"
 #include "memory_budget_p.h"
 #include "tunnel_codec_p.h"
 
@@ -28,6 +30,9 @@
   onTunnelRequest(const TunnelRequest &Request) = 0;
   /// The connection to the target failed. Returns what the peer is told.
   virtual TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) = 0;
+  /// The target began its answer.
+  virtual void onTunnelHead(const TunnelRequest &Request,
+                            const HttpHead &Head) = 0;
 };
 
 struct TunnelServerInit {
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -76,7 +76,7 @@
   const RelayHeaders &H = this->Init.Headers;
   this->recordHeard(*R, ProcessClock::now());
   // Notices are true of the target whether or not the answer can be used.
-  this->observeNotices(*R, Head);
+  this->observeNotices(R->Target, R->RequestId, Head);
   const std::string *Id = Head.find(H.RequestId);
   if (Id == nullptr || *Id != R->RequestId) {
     logEvent("answer-foreign", {{"id", R->RequestId},
@@ -90,7 +90,7 @@
       (Success && Head.find(H.ServerStamp) == nullptr)) {
     return ResponseHeadAction::Refuse;
   }
-  this->observeLimit(*R, Head);
+  this->observeLimit(R->Target, R->RequestId, Head);
   this->observeLoad(*R, Head);
   R->HeadReceived = true;
   R->Status = Head.Status;
--- a/src/relay_notices.cpp
+++ b/src/relay_notices.cpp
@@ -25,7 +25,8 @@
 
 // An answer with status 421 comes from another process than the one that the
 // request was meant for, so it tells nothing about the latter.
-void RequestRelay::observeNotices(const RelayedRequest &R,
+void RequestRelay::observeNotices(const TargetEntry &Target,
+                                  const std::string &RequestId,
                                   const HttpHead &Head) {
   const RelayHeaders &H = this->Init.Headers;
   if (Head.Status == 421) {
@@ -40,34 +41,34 @@
     return;
   }
   Time Now = ProcessClock::now();
-  uint32_t Target = incarnationKey(R.Target);
-  ServicePlacement &Places = *this->service(R.Service).Places;
+  uint32_t Run = incarnationKey(Target);
+  ServicePlacement &Places = *this->service(Target.Service).Places;
   TargetNotices &Notices = Places.scheduler().notices();
   std::optional<Duration> Pause = parsePause(Pauses);
   bool Leaves = std::any_of(Leaving.begin(), Leaving.end(), parseLeaving);
   bool Changed = false;
-  if (Leaves && Notices.observeLeaving(Target, Now)) {
+  if (Leaves && Notices.observeLeaving(Run, Now)) {
     Changed = true;
-    logImportantEvent("target-said-leaving", {{"instance", R.Target.Instance},
-                                              {"id", R.RequestId},
+    logImportantEvent("target-said-leaving", {{"instance", Target.Instance},
+                                              {"id", RequestId},
                                               {"status", Head.Status}});
   }
-  if (Pause && Notices.observePause(Target, *Pause, Now)) {
+  if (Pause && Notices.observePause(Run, *Pause, Now)) {
     Changed = true;
     logImportantEvent("target-paused",
-                      {{"instance", R.Target.Instance},
-                       {"id", R.RequestId},
+                      {{"instance", Target.Instance},
+                       {"id", RequestId},
                        {"ms", toMillis(*Pause)},
-                       {"until-ms", toMillis(Notices.pauseEnd(Target) - Now)}});
+                       {"until-ms", toMillis(Notices.pauseEnd(Run) - Now)}});
   }
   bool Unreadable =
       (!Leaving.empty() && !Leaves) || (!Pauses.empty() && !Pause);
-  if (Unreadable && Notices.observeUnreadable(Target, Now)) {
+  if (Unreadable && Notices.observeUnreadable(Run, Now)) {
     const std::string &Value =
         !Pauses.empty() && !Pause ? Pauses.front() : Leaving.front();
     logEvent("target-notice-unreadable",
-             {{"instance", R.Target.Instance},
-              {"id", R.RequestId},
+             {{"instance", Target.Instance},
+              {"id", RequestId},
               {"value", Value.substr(0, MaxLoggedValue)}});
   }
   if (Changed) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -181,6 +181,8 @@
   /// Returns what a peer is told of a target to which this host could not
   /// connect for it.
   TunnelRefusal tunnelFailure(const TunnelRequest &Request);
+  /// Takes over what a target says of itself in an answer to a peer.
+  void observeTunnelHead(const TunnelRequest &Request, const HttpHead &Head);
   TargetPathStats pathStats() const {
     return this->Paths.stats(ProcessClock::now());
   }
@@ -312,9 +314,11 @@
   ServiceState &service(ServiceId Id);
   void applyLimitHosts(ServicePlacement &Places);
   /// Takes over the limit that an answer names, or that it names none.
-  void observeLimit(const RelayedRequest &R, const HttpHead &Head);
+  void observeLimit(const TargetEntry &Target, const std::string &RequestId,
+                    const HttpHead &Head);
   /// Takes over what a target says of itself in the head of an answer.
-  void observeNotices(const RelayedRequest &R, const HttpHead &Head);
+  void observeNotices(const TargetEntry &Target, const std::string &RequestId,
+                      const HttpHead &Head);
   /// Whether the notices of the targets allow another try of the request.
   bool mayTryAgain(const RelayedRequest &R);
   /// Time after which the caller of a request that targets did not run may try
--- a/src/relay_paths.cpp
+++ b/src/relay_paths.cpp
@@ -96,8 +96,8 @@
   }
   std::optional<TunnelRefusal> Why = Answer ? *Answer : std::nullopt;
   R->Ways.Peers.push_back(Peer);
-  R->Ways.TargetDown =
-      Why == TunnelRefusal::Unreachable || Why == TunnelRefusal::TargetBarred;
+  R->Ways.TargetDown = Why == TunnelRefusal::Unreachable;
+  R->Ways.TargetBarred = Why == TunnelRefusal::TargetBarred;
   this->Paths.tunnelRefused(Run, Peer, Why, Now);
   logEvent("no-tunnel", {{"id", R->RequestId},
                          {"target", R->Target.Instance},
@@ -127,10 +127,12 @@
     return;
   }
   R.Tried.push_back(R.Target.Instance);
-  if (R.Ways.TargetDown || R.Ways.Peers.empty()) {
+  bool IsDown = R.Ways.TargetDown || R.Ways.Peers.empty();
+  if (IsDown) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), Now);
   }
-  this->releasePlace(R, AttemptResult::Unreachable);
+  this->releasePlace(R, R.Ways.TargetBarred ? AttemptResult::Unknown
+                                            : AttemptResult::Unreachable);
   if (++R.ConnectFailures < MaxConnectFailures) {
     this->place(R);
   } else {
@@ -263,4 +265,18 @@
                                          : TunnelRefusal::NoPath;
 }
 
+// What a target says of itself concerns all requests that reach it from this
+// host.
+void RequestRelay::observeTunnelHead(const TunnelRequest &Request,
+                                     const HttpHead &Head) {
+  auto It = this->Targets.find(Request.Instance);
+  if (It == this->Targets.end() || It->second.identity() != Request.Identity) {
+    return;
+  }
+  TargetEntry Target = It->second;
+  std::string Peer = toHex(Request.From.Value);
+  this->observeNotices(Target, Peer, Head);
+  this->observeLimit(Target, Peer, Head);
+}
+
 } // namespace shallotlatch
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -180,20 +180,23 @@
 
 // An answer that shows no proof of its origin, or that a target gave instead of
 // running the request, says nothing by the lack of a limit.
-void RequestRelay::observeLimit(const RelayedRequest &R, const HttpHead &Head) {
+void RequestRelay::observeLimit(const TargetEntry &Target,
+                                const std::string &RequestId,
+                                const HttpHead &Head) {
   const RelayHeaders &H = this->Init.Headers;
-  TargetLimits &Limits = this->service(R.Service).Places->scheduler().limits();
+  TargetLimits &Limits =
+      this->service(Target.Service).Places->scheduler().limits();
   const std::string *Field = Head.find(H.TargetLimit);
   Time Now = ProcessClock::now();
   double PerSecond = 0;
   if (Field != nullptr && parseTargetLimit(*Field, PerSecond)) {
-    Limits.observe(R.Target.shortIdentity(), PerSecond, Now);
+    Limits.observe(Target.shortIdentity(), PerSecond, Now);
   } else if (Field != nullptr) {
-    logEvent("target-limit-unreadable", {{"id", R.RequestId},
-                                         {"target", R.Target.Instance},
-                                         {"limit", *Field}});
+    logEvent(
+        "target-limit-unreadable",
+        {{"id", RequestId}, {"target", Target.Instance}, {"limit", *Field}});
   } else if (Head.find(H.ServerStamp) != nullptr) {
-    Limits.observeNone(R.Target.shortIdentity(), Now);
+    Limits.observeNone(Target.shortIdentity(), Now);
   }
 }
 
