Connections: a failure that connect() tells itself is reported

Without a route or a free port, connect() fails at once. libevent reports refusals only; for other errors bufferevent_socket_connect returns -1 and no event follows. A call waited for its whole connect timeout, and a probe of a path never ended: no further probe of that target was started, so its path stayed lost after it had healed.

connectSocket reports each failure by an event. Before it, WireClient aConnectionThatFailsAtOnceEndsItsCall saw no end, and Tunnels aProbeThatFailsAtOnceEnds got two of three results; both pass now.

The other tests of tunnels over sockets, which passed before as well, come with it: whole answers, ends at every byte, refusals, a peer that stops.

--- a/src/paths/connect_probe.cpp
+++ b/src/paths/connect_probe.cpp
@@ -40,11 +40,9 @@
   // libevent applies the write timeout to the connection being made.
   timeval Limit = toTimeval(ProbeTimeout);
   bufferevent_set_timeouts(P->Socket, nullptr, &Limit);
-  sockaddr_in To = toSockaddr(At);
   bufferevent *Socket = P->Socket;
   this->Running[Target] = std::move(P);
-  bufferevent_socket_connect(Socket, reinterpret_cast<sockaddr *>(&To),
-                             sizeof(To));
+  connectSocket(Socket, At);
 }
 
 void ConnectProbes::end(Probe &P, bool Connected) {
--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -137,9 +137,7 @@
     bufferevent_setcb(this->Target, &Tunnel::onTargetRead,
                       &Tunnel::onTargetWritten, &Tunnel::onTargetEvent, this);
     this->setTimer(TargetConnectTimeout);
-    sockaddr_in To = toSockaddr(std::get<Address>(Decision));
-    bufferevent_socket_connect(this->Target, reinterpret_cast<sockaddr *>(&To),
-                               sizeof(To));
+    connectSocket(this->Target, std::get<Address>(Decision));
     if (bufferevent_getfd(this->Target) >= 0) {
       setTcpOptions(bufferevent_getfd(this->Target));
     }
--- a/src/sockets.cpp
+++ b/src/sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <ctime>
+#include <event2/bufferevent.h>
 #include <nlohmann/json.hpp>
 
 namespace shallotlatch {
@@ -39,6 +40,16 @@
   event_base_once(Base, -1, EV_TIMEOUT, Destroy, Owner, &Now);
 }
 
+// libevent reports no event if connect() itself fails, as it does without a
+// route or a free port.
+void connectSocket(bufferevent *Socket, const Address &To) {
+  sockaddr_in At = toSockaddr(To);
+  if (bufferevent_socket_connect(Socket, reinterpret_cast<sockaddr *>(&At),
+                                 sizeof(At)) != 0) {
+    bufferevent_trigger_event(Socket, BEV_EVENT_ERROR, BEV_OPT_DEFER_CALLBACKS);
+  }
+}
+
 std::string problemDocument(int Status, const std::string &Title,
                             const std::string &Detail) {
   nlohmann::ordered_json Body{
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -148,10 +148,7 @@
   event_add(C->ConnectTimer, &Limit);
   this->Active[Id] = C;
   this->Connections[C->Id] = std::move(Created);
-  sockaddr_in To = toSockaddr(Call.Through ? Call.Through->Peer : Call.To);
-  // libevent reports a failure to connect in the next iteration of the loop.
-  bufferevent_socket_connect(C->Socket, reinterpret_cast<sockaddr *>(&To),
-                             sizeof(To));
+  connectSocket(C->Socket, Call.Through ? Call.Through->Peer : Call.To);
   Fd = bufferevent_getfd(C->Socket);
   setTcpOptions(Fd);
   return Id;
--- /dev/null
+++ b/tests/test_tunnels.cpp
@@ -0,0 +1,452 @@
+// Tests of tunnels between hosts over sockets: what a peer passes on, how
+// tunnels end, and what follows from a peer's refusal.
+#include "connect_probe_p.h"
+#include "relay_harness.h"
+#include "sockets_p.h"
+#include "tunnel_server_p.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <array>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace shallotlatch;
+using Action = TargetStep::Action;
+
+namespace {
+
+const HostId Asking{11};
+const HostId Passing{22};
+const HostId Scripted{33};
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+/// A port that refuses connections while it lives.
+class RefusingPort {
+public:
+  RefusingPort() {
+    sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
+    bind(this->Fd, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+    this->At = boundAddress(this->Fd);
+  }
+  ~RefusingPort() { close(this->Fd); }
+  RefusingPort(const RefusingPort &) = delete;
+  RefusingPort &operator=(const RefusingPort &) = delete;
+  Address At;
+
+private:
+  int Fd = socket(AF_INET, SOCK_STREAM, 0);
+};
+
+/// A peer whose relay decides on its tunnels.
+class PassingPeer : public TunnelServerEvents {
+public:
+  PassingPeer(RelayHarness &H, uint32_t MaxTunnels, const MemoryBudgetInit &M)
+      : Directory(H.Store, this->Ignored, 1), Budget(M) {
+    FrontendInit Front;
+    Front.ListenAddress = Address{"127.0.0.1", 0};
+    this->Directory.start(FleetHost(), bootTime());
+    this->Relay = std::make_unique<RequestRelay>(H.Base, Front, RelayInit(),
+                                                 this->Directory);
+    this->Relay->configure(H.Store.Config);
+    this->startServer(H, MaxTunnels);
+  }
+  void startServer(RelayHarness &H, uint32_t MaxTunnels) {
+    this->Server.reset();
+    this->Server = std::make_unique<TunnelServer>(
+        H.Base, TunnelServerInit{Address{"127.0.0.1", 0}, MaxTunnels}, *this,
+        this->Budget);
+  }
+  std::variant<Address, TunnelRefusal>
+  onTunnelRequest(const TunnelRequest &Request) override {
+    CHECK(Request.From == Asking);
+    return this->Relay->tunnelTo(Request);
+  }
+  TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) override {
+    return this->Relay->tunnelFailure(Request);
+  }
+  TunnelPeer entry() const { return {Passing, this->Server->address(), false}; }
+
+private:
+  IgnoringDirectoryEvents Ignored;
+  FleetDirectory Directory;
+
+public:
+  MemoryBudget Budget;
+  std::unique_ptr<RequestRelay> Relay;
+  std::unique_ptr<TunnelServer> Server;
+};
+
+/// A peer that sends given bytes once it has a request for a tunnel.
+class ScriptedPeer {
+public:
+  explicit ScriptedPeer(event_base *Base) : Base(Base) {
+    sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
+    auto OnAccept = [](evconnlistener *, evutil_socket_t Fd, sockaddr *, int,
+                       void *Arg) {
+      ScriptedPeer *P = static_cast<ScriptedPeer *>(Arg);
+      bufferevent *Socket =
+          bufferevent_socket_new(P->Base, Fd, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_setcb(Socket, &ScriptedPeer::onRead, nullptr,
+                        &ScriptedPeer::onEvent, P);
+      bufferevent_enable(Socket, EV_READ | EV_WRITE);
+      P->Open.insert(Socket);
+    };
+    this->Listener = evconnlistener_new_bind(
+        Base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 16,
+        reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+  }
+  ~ScriptedPeer() {
+    while (!this->Open.empty()) {
+      this->end(*this->Open.begin(), false);
+    }
+    evconnlistener_free(this->Listener);
+  }
+  ScriptedPeer(const ScriptedPeer &) = delete;
+  ScriptedPeer &operator=(const ScriptedPeer &) = delete;
+  TunnelPeer entry() const {
+    return {Scripted, boundAddress(evconnlistener_get_fd(this->Listener)),
+            true};
+  }
+  /// Answers all that ask and were not answered.
+  void answerWaiting() {
+    for (bufferevent *Socket : std::set<bufferevent *>(this->Open)) {
+      bufferevent_write(Socket, this->Bytes.data(), this->Bytes.size());
+    }
+  }
+
+  std::string Bytes;
+  Action AfterSend = Action::Hold;
+  bool Answers = true;
+  uint32_t Asked = 0;
+  std::string Received; ///< What followed the requests for tunnels.
+
+private:
+  static void onRead(bufferevent *Socket, void *Arg) {
+    ScriptedPeer *P = static_cast<ScriptedPeer *>(Arg);
+    evbuffer *In = bufferevent_get_input(Socket);
+    std::string Text(evbuffer_get_length(In), '\0');
+    evbuffer_remove(In, Text.data(), Text.size());
+    if (!P->Known.insert(Socket).second) {
+      P->Received += Text;
+      return;
+    }
+    // Loopback delivers so short a message whole.
+    ++P->Asked;
+    CHECK(decodeTunnelRequest(Text.substr(FrameHeadBytes)).has_value());
+    if (!P->Answers) {
+      return;
+    }
+    ::send(bufferevent_getfd(Socket), P->Bytes.data(), P->Bytes.size(),
+           MSG_NOSIGNAL);
+    if (P->AfterSend == Action::Close || P->AfterSend == Action::Reset) {
+      P->end(Socket, P->AfterSend == Action::Reset);
+    }
+  }
+  static void onEvent(bufferevent *Socket, short, void *Arg) {
+    static_cast<ScriptedPeer *>(Arg)->end(Socket, false);
+  }
+  void end(bufferevent *Socket, bool Reset) {
+    if (Reset) {
+      linger Now{1, 0};
+      setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Now,
+                 sizeof(Now));
+    }
+    this->Open.erase(Socket);
+    this->Known.erase(Socket);
+    bufferevent_free(Socket);
+  }
+  event_base *Base;
+  evconnlistener *Listener = nullptr;
+  std::set<bufferevent *> Open;
+  std::set<bufferevent *> Known;
+};
+
+/// An answer without a length, which ends with its connection.
+std::string openEndedAnswer(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + Id + "\r\nX-Stamp: s1\r\n\r\nwhole";
+}
+
+} // namespace
+
+TEST_GROUP(Tunnels) {
+  RefusingPort Dead;
+  // Requests that find no target are refused soon, as their objective is short.
+  std::unique_ptr<RelayHarness> H =
+      std::make_unique<RelayHarness>(seconds(3600), millis(2500), millis(100));
+  std::unique_ptr<PassingPeer> Peer;
+  std::unique_ptr<ScriptedPeer> Other;
+
+  void setup() override { this->startPeer(8, MemoryBudgetInit()); }
+  void startPeer(uint32_t MaxTunnels, const MemoryBudgetInit &Memory) {
+    Peer.reset();
+    Peer = std::make_unique<PassingPeer>(*H, MaxTunnels, Memory);
+    Other = std::make_unique<ScriptedPeer>(H->Base);
+    H->relay().setLimitHosts(Asking, {Asking}, {Asking, Passing});
+    H->relay().setTunnelPeers({Peer->entry()});
+  }
+  void teardown() override {
+    Peer.reset();
+    Other.reset();
+    H.reset();
+  }
+  /// A target that the peer reaches; the asking host's connections are refused.
+  ScriptedTarget &cutTarget(const std::string &Instance,
+                            const std::string &Software = "v1") {
+    ScriptedTarget &T = H->target(Instance, Software);
+    TargetEntry Entry = T.entry();
+    Entry.Software = Software;
+    Peer->Relay->setTarget(Entry);
+    Entry.At = Dead.At;
+    H->relay().setTarget(Entry);
+    return T;
+  }
+  /// Sends a request on a connection that stays open; returns the caller.
+  size_t begin(const std::string &Path, const std::string &Id,
+               const std::string &Extra = "Connection: close\r\n") {
+    size_t Caller = H->connect();
+    H->send(Caller, "POST " + Path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + Id +
+                        "\r\nX-Deadline: 20000\r\nAuthorization: Token good"
+                        "\r\n" +
+                        Extra + "Content-Length: 4\r\n\r\nbody");
+    return Caller;
+  }
+  /// Sends a request and returns the answer once its connection has ended.
+  std::string ask(const std::string &Path, const std::string &Id) {
+    size_t Caller = this->begin(Path, Id);
+    CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+    return H->received(Caller);
+  }
+};
+
+TEST(Tunnels, answersPassUnchanged) {
+  std::string Stream = streamAnswerHead();
+  for (int I = 1; I <= 300; ++I) {
+    Stream += streamEventChunk(I);
+  }
+  const std::array<std::pair<const char *, TargetStep>, 6> Rows = {{
+      {"/safe/x", {validAnswer("fine")}},
+      {"/safe/x", {validAnswer(std::string(3000000, 'x'))}},
+      {"/safe/x", {openEndedAnswer("@ID@"), Action::Close}},
+      {"/safe/x", {validAnswer("no", "404 Not Found")}},
+      {"/stream/x", {Stream + "0\r\n\r\n"}},
+      {"/once/x", {validAnswer("early"), Action::Keep, true}},
+  }};
+  for (const auto &Row : Rows) {
+    RelayHarness Direct;
+    ScriptedTarget &Reached = Direct.target("a");
+    Reached.Steps = {Row.second};
+    ScriptedTarget &Cut = this->cutTarget("a");
+    Cut.Steps = {Row.second};
+    std::string Answer = this->ask(Row.first, "r");
+    size_t Caller = Direct.connect();
+    Direct.send(Caller, std::string("POST ") + Row.first +
+                            " HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nX-Deadline: "
+                            "20000\r\nAuthorization: Token good\r\nConnection: "
+                            "close\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(Direct.runUntil([&Direct, Caller] { return Direct.closed(Caller); }));
+    CHECK(Answer == Direct.received(Caller));
+    CHECK_EQUAL(1, Cut.Requests.size());
+    std::string &Passed = Cut.Requests.front();
+    std::string &Sent = Reached.Requests.front();
+    // The time left to the deadline differs.
+    for (std::string *Text : {&Passed, &Sent}) {
+      size_t At = Text->find("X-Deadline: ");
+      Text->erase(At, Text->find("\r\n", At) - At);
+    }
+    STRCMP_EQUAL(Sent.c_str(), Passed.c_str());
+  }
+  CHECK(H->runUntil([this] { return Peer->Server->idle(); }));
+  CHECK_EQUAL(0, Peer->Budget.connections());
+  CHECK_EQUAL(0, Peer->Budget.held());
+}
+
+TEST(Tunnels, onlyACloseByTheTargetEndsAnAnswerWithoutLength) {
+  ScriptedTarget &T = this->cutTarget("a");
+  T.Steps = {{openEndedAnswer("@ID@"), Action::Close}};
+  CHECK(contains(this->ask("/once/x", "r1"), " 200 "));
+  T.Steps = {{openEndedAnswer("@ID@"), Action::Reset}};
+  CHECK(contains(this->ask("/once/x", "r2"), " 502 "));
+  CHECK_EQUAL(2, T.Requests.size());
+}
+
+TEST(Tunnels, aTunnelThatEndsAtAnyByteCompletesNothing) {
+  this->cutTarget("a");
+  H->relay().setTunnelPeers({Other->entry()});
+  const std::string Open = encodeTunnelAnswer(TunnelAnswer());
+  const std::string Id = "r1000";
+  const std::string Answer = openEndedAnswer(Id);
+  const std::string All = Open + frameHead(40) + Answer.substr(0, 40) +
+                          frameHead(Answer.size() - 40) + Answer.substr(40) +
+                          tunnelEnd(TunnelEnd::Closed);
+  for (Action End : {Action::Close, Action::Reset}) {
+    Other->AfterSend = End;
+    // A reset may take back bytes that were sent before it.
+    size_t Last = End == Action::Close ? All.size() : All.size() - 1;
+    for (size_t Length = 0; Length <= Last; ++Length) {
+      Other->Bytes = All.substr(0, Length);
+      std::string Text = this->ask("/once/x", Id);
+      const char *Status = Length == All.size()   ? " 200 "
+                           : Length < Open.size() ? " 503 "
+                                                  : " 502 ";
+      bool MayBeEither = End == Action::Reset && Length >= Open.size();
+      if (!contains(Text, Status) &&
+          !(MayBeEither && contains(Text, " 503 "))) {
+        FAIL(("after " + std::to_string(Length) + " bytes: " + Text).c_str());
+      }
+      CHECK(Length == All.size() || !contains(Text, "whole"));
+      if (Length < Open.size()) {
+        STRCMP_EQUAL("", Other->Received.c_str());
+      }
+    }
+  }
+}
+
+TEST(Tunnels, whatIsNoTunnelLeadsElsewhereAndRunsOnce) {
+  const std::string Long("\xff\xff\xff\x7f garbage", 12);
+  const std::string BadFrame = frameHead(16) + std::string(16, '\x7f');
+  struct Row {
+    std::string Bytes;
+    Action After;
+    bool Answers = true;
+  };
+  std::vector<Row> Rows = {
+      {Long, Action::Hold},      {BadFrame, Action::Hold},
+      {"", Action::Close},       {"", Action::Reset},
+      {"", Action::Hold, false}, {tunnelEnd(TunnelEnd::Closed), Action::Hold}};
+  for (uint8_t I = 0; I < TunnelRefusalCount; ++I) {
+    Rows.push_back(
+        {encodeTunnelAnswer(static_cast<TunnelRefusal>(I)), Action::Hold});
+  }
+  int Number = 0;
+  for (const Row &R : Rows) {
+    ++Number;
+    Other->Bytes = R.Bytes;
+    Other->AfterSend = R.After;
+    Other->Answers = R.Answers;
+    uint32_t Before = Other->Asked;
+    std::string Name = "a" + std::to_string(Number);
+    ScriptedTarget &A = this->cutTarget(Name);
+    ScriptedTarget &B = H->target("b" + std::to_string(Number));
+    // The own domain's peer is asked first.
+    H->relay().setTunnelPeers({});
+    H->relay().setTunnelPeers({Other->entry(), Peer->entry()});
+    bool Asked = false;
+    for (int I = 0; I < 8 && !Asked; ++I) {
+      std::string Id = "r" + std::to_string(Number) + "-" + std::to_string(I);
+      CHECK(contains(this->ask("/once/x", Id), " 200 "));
+      Asked = Other->Asked > Before;
+      CHECK_EQUAL(I + 1, A.Requests.size() + B.Requests.size());
+    }
+    CHECK(Asked);
+    STRCMP_EQUAL("", Other->Received.c_str());
+    for (const std::string &Gone : {Name, "b" + std::to_string(Number)}) {
+      H->relay().removeTarget(Gone);
+    }
+  }
+  // An earlier release has no listener for tunnels.
+  this->cutTarget("last");
+  H->relay().setTunnelPeers({{Scripted, Dead.At, true}, Peer->entry()});
+  CHECK(contains(this->ask("/once/x", "last"), " 200 "));
+}
+
+TEST(Tunnels, aPeerThatStopsEndsItsTunnelsFirst) {
+  ScriptedTarget &T = this->cutTarget("a");
+  T.Steps = {{streamAnswerHead() + streamEventChunk(1), Action::Hold}};
+  size_t Caller = this->begin("/stream/x", "r1");
+  CHECK(H->runUntil(
+      [this, Caller] { return contains(H->received(Caller), "data: e1"); }));
+  Peer->Server->stop();
+  CHECK(contains(this->ask("/safe/x", "r2"), " 503 "));
+  CHECK_EQUAL(1, T.Requests.size());
+  CHECK(!H->closed(Caller));
+  CHECK(!Peer->Server->idle());
+  H->close(Caller);
+  CHECK(H->runUntil([this] { return Peer->Server->idle(); }));
+  CHECK(H->runUntil([&T] { return T.ClosedConnections == 1; }));
+}
+
+TEST(Tunnels, hostsThatBothLostTheirPathsDoNotLoop) {
+  ScriptedTarget &T = this->cutTarget("a");
+  TargetEntry Entry = T.entry();
+  Entry.At = Dead.At;
+  Peer->Relay->setTarget(Entry);
+  CHECK(contains(this->ask("/once/x", "r1"), " 503 "));
+  CHECK_EQUAL(0, T.AcceptedConnections);
+  CHECK(Peer->Server->stats().Refused <= 4);
+}
+
+TEST(Tunnels, aPeerWithoutRoomRefuses) {
+  MemoryBudgetInit Small;
+  Small.LimitBytes = 1;
+  MemoryBudgetInit Few;
+  Few.MaxConnections = 1;
+  const std::array<std::pair<uint32_t, MemoryBudgetInit>, 3> Rows = {
+      {{0, MemoryBudgetInit()}, {8, Small}, {8, Few}}};
+  for (const auto &Row : Rows) {
+    this->startPeer(Row.first, Row.second);
+    ScriptedTarget &T = this->cutTarget("a");
+    CHECK(contains(this->ask("/once/x", "r1"), " 503 "));
+    CHECK_EQUAL(0, T.AcceptedConnections);
+    CHECK(Peer->Server->stats().Refused > 0);
+  }
+}
+
+TEST(Tunnels, aTargetThatOnlyThePeerKnowsToLeaveIsNotReached) {
+  ScriptedTarget &A = this->cutTarget("a");
+  TargetEntry Entry = A.entry();
+  Entry.Leaving = true;
+  Peer->Relay->setTarget(Entry);
+  CHECK(contains(this->ask("/once/x", "r1"), " 503 "));
+  CHECK_EQUAL(0, A.AcceptedConnections);
+  this->cutTarget("b");
+  CHECK(contains(this->ask("/once/x", "r2"), " 200 "));
+}
+
+TEST(Tunnels, aStreamGoesOnOnlyAtItsVersion) {
+  ScriptedTarget &A = this->cutTarget("a", "v1");
+  A.Steps = {{streamAnswerHead() + streamEventChunk(1), Action::Hold}};
+  size_t Caller = this->begin("/resume/x", "r1");
+  CHECK(H->runUntil(
+      [this, Caller] { return contains(H->received(Caller), "data: e1"); }));
+  ScriptedTarget &B = this->cutTarget("b", "v2");
+  ScriptedTarget &C = this->cutTarget("c", "v1");
+  C.Steps = {{streamAnswerHead() + streamEventChunk(2) + "0\r\n\r\n"}};
+  // The end of the peer's process breaks the stream off.
+  Peer->startServer(*H, 8);
+  H->relay().setTunnelPeers({Peer->entry()});
+  CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+  CHECK_EQUAL(0, B.Requests.size());
+  CHECK_EQUAL(1, C.Requests.size());
+  CHECK(contains(H->received(Caller), "data: e2"));
+}
+
+namespace {
+
+struct ProbeRecorder : public ConnectProbeEvents {
+  void onProbeEnd(TargetRunId, bool Connected) override {
+    this->Results.push_back(Connected);
+  }
+  std::vector<bool> Results;
+};
+
+} // namespace
+
+TEST(Tunnels, aProbeThatFailsAtOnceEnds) {
+  ProbeRecorder Seen;
+  ConnectProbes Probes(H->Base, Seen);
+  // No route leads there, which connect() tells at once.
+  Probes.start(TargetRunId{1}, Address{"224.0.0.1", 9});
+  Probes.start(TargetRunId{2}, Dead.At);
+  ScriptedTarget &T = H->target("a");
+  Probes.start(TargetRunId{3}, T.entry().At);
+  CHECK(H->runUntil([&Seen] { return Seen.Results.size() == 3; }));
+  CHECK_EQUAL(0, Probes.size());
+}
--- a/tests/test_wire_client.cpp
+++ b/tests/test_wire_client.cpp
@@ -107,6 +107,20 @@
   close(Fd);
 }
 
+// libevent reports nothing if connect() itself fails, here for want of a route.
+TEST(WireClient, aConnectionThatFailsAtOnceEndsItsCall) {
+  OutboundCall Call;
+  Call.To = Address{"224.0.0.1", 9};
+  Call.ConnectTimeout = seconds(3600);
+  Client->start(std::move(Call));
+  CHECK(Calls.Ends.empty());
+  for (int I = 0; I < 20; ++I) {
+    event_base_loop(Base, EVLOOP_NONBLOCK);
+  }
+  CHECK_EQUAL(1, Calls.Ends.size());
+  CHECK(isUnsent(Calls.Ends.back()));
+}
+
 // Guards against a time that overflows.
 TEST(WireClient, aKeepAliveTimeOutOfRangeIsBounded) {
   for (const char *Timeout : {"9223372036854775807", "-9223372036854775808",
