Paths: after a peer's refusal the other failure domains are asked

A request asks up to three peers, those of its own failure domain first. In a large domain that is cut as a whole all three have lost their paths too: 4.9 s after a cut of 130 of 390 hosts, requests still found no way to a target that 260 hosts reach, each time the memory of refusals had passed.

Once a peer has refused, peers of other domains come first. Before it, TargetPaths aLargeFleetServesToo failed with 'not served at 5900 ms, host 0'; it passes now.

--- a/src/paths/target_paths.cpp
+++ b/src/paths/target_paths.cpp
@@ -87,12 +87,16 @@
 }
 
 // Peers that gave a tunnel or were not asked lately come first, those of the
-// own failure domain before the others; among equals the load is spread.
+// own failure domain before the others; among equals the load is spread. Hosts
+// of one failure domain lose their paths together, so once a peer has refused,
+// the others come first.
 std::optional<TunnelPeer>
 TargetPaths::choosePeer(const std::vector<HostId> &Asked, Time Now) {
   std::vector<const PeerState *> Best;
-  auto RankOf = [Now](const PeerState &State) {
-    return (Now < State.RefusesUntil ? 2 : 0) + (State.Peer.SameDomain ? 0 : 1);
+  bool PreferOwn = Asked.empty();
+  auto RankOf = [Now, PreferOwn](const PeerState &State) {
+    return (Now < State.RefusesUntil ? 2 : 0) +
+           (State.Peer.SameDomain == PreferOwn ? 0 : 1);
   };
   for (const auto &Item : this->Peers) {
     if (std::find(Asked.begin(), Asked.end(), Item.first) != Asked.end()) {
