--- a/tests/test_tunnels.cpp
+++ b/tests/test_tunnels.cpp
@@ -72,6 +72,10 @@
   TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) override {
     return this->Relay->tunnelFailure(Request);
   }
+  void onTunnelHead(const TunnelRequest &Request,
+                    const HttpHead &Head) override {
+    this->Relay->observeTunnelHead(Request, Head);
+  }
   TunnelPeer entry() const { return {Passing, this->Server->address(), false}; }
 
 private:
