Target client: a tunnel that opens in vain is not read after its end

If a target began to leave, or a key lost trust, while a peer opened a tunnel, nothing is sent and the connection is destroyed. The reader of the peer's answer then read its freed state.

The reader asks the client whether the call goes on.

--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -232,8 +232,10 @@
     if (this->Call != Current) {
       return false;
     }
-    this->Owner.send(*this);
-    return this->Call == Current;
+    // Where nothing is sent, the connection is destroyed.
+    PooledHttpClient &Client = this->Owner;
+    Client.send(*this);
+    return Client.find(Current) == this;
   }
 
   void endRefused(const std::optional<TunnelAnswer> &Answer) {
--- a/tests/test_wire_client.cpp
+++ b/tests/test_wire_client.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 struct CallRecorder : public OutboundCallEvents {
-  bool onSending(OutboundCallId) override { return true; }
+  bool onSending(OutboundCallId) override { return this->MaySend; }
   ResponseHeadAction onHead(OutboundCallId, HttpHead &) override {
     return ResponseHeadAction::Take;
   }
@@ -22,6 +22,7 @@
     this->Ends.push_back(End);
   }
   std::vector<OutboundCallEnd> Ends;
+  bool MaySend = true;
 };
 
 } // namespace
@@ -121,6 +122,25 @@
   CHECK(isUnsent(Calls.Ends.back()));
 }
 
+// Guards against the use of a freed connection (seen by the sanitizer).
+TEST(WireClient, aTunnelThatOpensForARequestThatMayNotBeSentIsClosed) {
+  Calls.MaySend = false;
+  OutboundCall Call;
+  Call.Through = TunnelHop{At, {HostId{1}, "a", 1}};
+  Client->start(std::move(Call));
+  event_base_loop(Base, EVLOOP_NONBLOCK);
+  int Fd = accept(Listener, nullptr, nullptr);
+  std::string Open = encodeTunnelAnswer(TunnelAnswer());
+  CHECK_EQUAL(static_cast<ssize_t>(Open.size()),
+              ::send(Fd, Open.data(), Open.size(), 0));
+  for (int I = 0; I < 1000 && Client->stats().Active > 0; ++I) {
+    event_base_loop(Base, EVLOOP_ONCE);
+  }
+  CHECK_EQUAL(0, Client->stats().Active);
+  CHECK(Calls.Ends.empty());
+  close(Fd);
+}
+
 // Guards against a time that overflows.
 TEST(WireClient, aKeepAliveTimeOutOfRangeIsBounded) {
   for (const char *Timeout : {"9223372036854775807", "-9223372036854775808",
