Paths: bytes on an open connection restore no lost path

Connections may live on while new ones are refused. Bytes on one of them, after a second without any, cleared all lost paths of a host that had lost them, and its requests tried them again in vain until each had failed anew.

Only a connection that is established clears them. Before it, TargetPaths aConnectionThatLivesOnRestoresNoPath found 0 of 4 paths lost; it passes now, with the rest of the group.

--- a/src/paths/target_paths.cpp
+++ b/src/paths/target_paths.cpp
@@ -151,24 +151,12 @@
   }
 }
 
-void TargetPaths::noteSign(Time Now) {
-  bool WasIsolated = this->isIsolated(Now);
-  this->LastSign = Now;
-  if (!WasIsolated) {
-    return;
-  }
-  // The paths of an isolated host were lost together and come back together.
-  for (auto &Item : this->Paths) {
-    this->setLost(Item.second, false);
-    Item.second.FailedAt.reset();
-  }
-}
-
 void TargetPaths::heard(TargetRunId Target, Time Now) {
   Path *P = this->find(Target);
   if (P != nullptr) {
     P->AwaitedSince = Now;
-    this->noteSign(Now);
+    this->WasIsolated = this->WasIsolated || this->isIsolated(Now);
+    this->LastSign = Now;
   }
 }
 
@@ -177,7 +165,15 @@
 void TargetPaths::connected(TargetRunId Target, Time Now) {
   Path *P = this->find(Target);
   if (P != nullptr) {
-    this->noteSign(Now);
+    // The paths of an isolated host were lost together and come back together.
+    if (this->WasIsolated || this->isIsolated(Now)) {
+      for (auto &Item : this->Paths) {
+        this->setLost(Item.second, false);
+        Item.second.FailedAt.reset();
+      }
+    }
+    this->WasIsolated = false;
+    this->LastSign = Now;
     this->LastConnect = Now;
     this->setLost(*P, false);
     P->FailedAt.reset();
--- a/src/paths/target_paths_p.h
+++ b/src/paths/target_paths_p.h
@@ -117,8 +117,6 @@
 
   Path *find(TargetRunId Target);
   void setLost(Path &P, bool Lost);
-  /// A path works, so the others may work again as well.
-  void noteSign(Time Now);
   std::optional<TunnelPeer> choosePeer(const std::vector<HostId> &Asked,
                                        Time Now);
   void scheduleProbe(Path &P, Time Now);
@@ -130,6 +128,7 @@
   std::optional<Time> LastSign;    ///< Last success on any own connection.
   std::optional<Time> LastConnect; ///< Last own connection established.
   Time NextSilenceProbeAt;
+  bool WasIsolated = false; ///< No connection has been established since.
 };
 
 } // namespace shallotlatch
--- a/tests/test_target_paths.cpp
+++ b/tests/test_target_paths.cpp
@@ -301,6 +301,21 @@
   CHECK(F.Hosts[0].isIsolated(F.Now));
 }
 
+// Bytes on an open connection do not show that new ones can be made.
+TEST(TargetPaths, aConnectionThatLivesOnRestoresNoPath) {
+  Fleet F(6, 12);
+  TargetPaths &Paths = F.Hosts[0];
+  for (size_t T = 0; T < 4; ++T) {
+    Paths.failed(Fleet::run(T), PathFailure::Silent, F.Now);
+  }
+  F.Now += seconds(2);
+  CHECK(Paths.isIsolated(F.Now));
+  Paths.heard(Fleet::run(9), F.Now);
+  CHECK_EQUAL(4, Paths.stats(F.Now).Lost);
+  Paths.connected(Fleet::run(9), F.Now + Step);
+  CHECK_EQUAL(0, Paths.stats(F.Now + Step).Lost);
+}
+
 TEST(TargetPaths, theCostOfACallDoesNotGrowWithTargets) {
   auto TimeOf = [](size_t Targets) {
     Fleet F(13, Targets);
