Tunnels: the silence of a peer's path is no crash of the target

A peer whose connection to the target was given up without an answer told the asking host that the target had broken it. That counts as a crash of the request's prompt parts once the target is found dead; the silence of an own connection does not.

The peer ends the tunnel without a word then, as if it had stopped itself, which says nothing of the target. Nothing that the target's connection does after a refusal or after its end changes the tunnel any more; a connection made late opened one that was refused.

--- a/src/paths/tunnel_codec_p.h
+++ b/src/paths/tunnel_codec_p.h
@@ -51,7 +51,7 @@
 /// of the tunnel's own connection does not tell it.
 enum class TunnelEnd : uint32_t {
   Closed = 0,          ///< The target closed it in order.
-  Broken = UINT32_MAX, ///< It was reset, or the target fell silent.
+  Broken = UINT32_MAX, ///< It was reset.
 };
 std::string tunnelEnd(TunnelEnd End);
 /// Returns the head of a frame of \p Length bytes, at least one.
--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -224,12 +224,18 @@
   }
   static void onTargetEvent(bufferevent *, short What, void *Arg) {
     Tunnel *T = static_cast<Tunnel *>(Arg);
+    bool IsError = (What & BEV_EVENT_ERROR) != 0;
+    if (T->Flushing) {
+      return; // It was refused or has ended already.
+    }
     if ((What & BEV_EVENT_CONNECTED) != 0) {
       T->open();
-      return;
+    } else if (T->Open && IsError && isUnanswered(EVUTIL_SOCKET_ERROR())) {
+      // The path of this host is lost, which says nothing of the target.
+      T->Owner.remove(*T);
+    } else {
+      T->endOfTarget((What & BEV_EVENT_EOF) != 0 && !IsError);
     }
-    T->endOfTarget((What & BEV_EVENT_EOF) != 0 &&
-                   (What & BEV_EVENT_ERROR) == 0);
   }
   static void onTimer(evutil_socket_t, short, void *Arg) {
     Tunnel *T = static_cast<Tunnel *>(Arg);
--- a/src/tcp_options.cpp
+++ b/src/tcp_options.cpp
@@ -1,5 +1,6 @@
 #include "tcp_options_p.h"
 
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -28,4 +29,8 @@
              sizeof(TcpUserTimeoutMs));
 }
 
+bool isUnanswered(int Error) {
+  return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
+}
+
 } // namespace shallotlatch
--- a/src/tcp_options_p.h
+++ b/src/tcp_options_p.h
@@ -8,5 +8,8 @@
 /// and probes that find a machine that answers no more within about three
 /// seconds.
 void setTcpOptions(int Fd);
+/// Whether \p Error, of a socket, says that no answer came to what was sent,
+/// rather than that the other side ended the connection.
+bool isUnanswered(int Error);
 
 } // namespace shallotlatch
--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "sockets_p.h"
+#include "tcp_options_p.h"
 #include "tunnel_codec_p.h"
 #include "wire_client_p.h"
 
@@ -27,12 +28,6 @@
 // Limit on the keep-alive timeout that a server states.
 constexpr int64_t MaxKeepAliveSeconds = 3600;
 
-// Returns whether \p Error, of a socket, says that no answer came to what was
-// sent, rather than that the other side ended the connection.
-inline bool isUnanswered(int Error) {
-  return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
-}
-
 struct PooledHttpClient::Connection : public HttpReaderEvents {
   /// Whether a peer passes the call on, and whether it has agreed.
   enum class TunnelState : uint8_t { None, Opening, Open };
--- a/tests/test_tunnels.cpp
+++ b/tests/test_tunnels.cpp
@@ -45,6 +45,44 @@
   int Fd = socket(AF_INET, SOCK_STREAM, 0);
 };
 
+/// A target with small buffers that reads and writes only as a test says.
+class RawTarget {
+public:
+  RawTarget() {
+    int Small = 64 * 1024;
+    setsockopt(this->Listener, SOL_SOCKET, SO_RCVBUF, &Small, sizeof(Small));
+    setsockopt(this->Listener, SOL_SOCKET, SO_SNDBUF, &Small, sizeof(Small));
+    sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
+    bind(this->Listener, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+    listen(this->Listener, 16);
+    this->At = boundAddress(this->Listener);
+  }
+  ~RawTarget() {
+    close(this->Listener);
+    if (this->Fd >= 0) {
+      close(this->Fd);
+    }
+  }
+  RawTarget(const RawTarget &) = delete;
+  RawTarget &operator=(const RawTarget &) = delete;
+  bool accept() {
+    this->Fd = accept4(this->Listener, nullptr, nullptr, SOCK_NONBLOCK);
+    return this->Fd >= 0;
+  }
+  ssize_t read() {
+    char Part[4096];
+    return recv(this->Fd, Part, sizeof(Part), 0);
+  }
+  ssize_t write(const std::string &Text) {
+    return ::send(this->Fd, Text.data(), Text.size(), MSG_NOSIGNAL);
+  }
+  Address At;
+
+private:
+  int Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int Fd = -1;
+};
+
 /// A peer whose relay decides on its tunnels.
 class PassingPeer : public TunnelServerEvents {
 public:
@@ -410,6 +448,86 @@
   CHECK(contains(this->ask("/once/x", "r2"), " 200 "));
 }
 
+// What is held may not grow with what the other side does not read.
+TEST(Tunnels, slowReadersHoldTheSendersBack) {
+  constexpr size_t Whole = 64 * 1024 * 1024;
+  constexpr size_t MaxHeld = 24 * 1024 * 1024;
+  RawTarget Target;
+  TargetEntry Entry = this->cutTarget("a").entry();
+  Entry.At = Target.At;
+  Peer->Relay->setTarget(Entry);
+  // The caller of a stream that reads nothing.
+  int Caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in To = toSockaddr(H->relay().callerAddress());
+  CHECK_EQUAL(0,
+              connect(Caller, reinterpret_cast<sockaddr *>(&To), sizeof(To)));
+  const std::string Request =
+      "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Deadline: 20000\r\n"
+      "Authorization: Token good\r\nContent-Length: 4\r\n\r\nbody";
+  CHECK(::send(Caller, Request.data(), Request.size(), 0) > 0);
+  CHECK(H->runUntil([&Target] { return Target.accept(); }));
+  CHECK(H->runUntil([&Target] { return Target.read() > 0; }));
+  std::string Answer = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s1\r\n"
+                       "Content-Type: text/event-stream\r\n\r\n";
+  const std::string Event = "data: " + std::string(1000, 'x') + "\n\n";
+  size_t Sent = 0;
+  // The flow stops once nothing can be sent in so many rounds of the loop.
+  int Idle = 0;
+  CHECK(H->runUntil([&] {
+    while (Answer.size() < 256 * 1024) {
+      Answer += Event;
+    }
+    ssize_t Done = Target.write(Answer);
+    Idle = Done > 0 ? 0 : Idle + 1;
+    Sent += Done > 0 ? static_cast<size_t>(Done) : 0;
+    Answer.erase(0, Done > 0 ? static_cast<size_t>(Done) : 0);
+    return Sent > Whole || Idle > 50;
+  }));
+  CHECK(Sent < MaxHeld);
+  close(Caller);
+  CHECK(H->runUntil([this] { return Peer->Server->idle(); }));
+}
+
+// A connection that the peer gives up after no answer shows no crash.
+TEST(Tunnels, theSilenceOfATargetBehindAPeerIsNoCrash) {
+  RawTarget Target;
+  TargetEntry Entry = this->cutTarget("a").entry();
+  Entry.At = Target.At;
+  Peer->Relay->setTarget(Entry);
+  size_t Caller = H->connect();
+  // More than the buffers take, of which the target reads nothing.
+  const size_t Length = 2 * 1024 * 1024;
+  H->send(Caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Deadline: "
+                  "20000\r\nAuthorization: Token good\r\nConnection: "
+                  "close\r\nContent-Length: " +
+                      std::to_string(Length) + "\r\n\r\n" +
+                      std::string(Length, 'x'));
+  CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+  CHECK(contains(H->received(Caller), " 502 "));
+  // The target's death would confirm a crash.
+  H->relay().removeTarget("a");
+  CHECK_EQUAL(0, H->relay().crashes().suspectCount());
+}
+
+TEST(Tunnels, aTargetThatLeavesWhileItsTunnelOpensGetsNothing) {
+  ScriptedTarget &A = this->cutTarget("a");
+  H->relay().setTunnelPeers({Other->entry()});
+  Other->Bytes = encodeTunnelAnswer(TunnelAnswer());
+  Other->Answers = false;
+  size_t Caller = this->begin("/once/x", "r1");
+  CHECK(H->runUntil([this] { return Other->Asked == 1; }));
+  TargetEntry Entry = A.entry();
+  Entry.At = Dead.At;
+  Entry.Leaving = true;
+  H->relay().setTarget(Entry);
+  this->cutTarget("b");
+  H->relay().setTunnelPeers({Peer->entry()});
+  Other->answerWaiting();
+  CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+  CHECK(contains(H->received(Caller), " 200 "));
+  STRCMP_EQUAL("", Other->Received.c_str());
+}
+
 TEST(Tunnels, aStreamGoesOnOnlyAtItsVersion) {
   ScriptedTarget &A = this->cutTarget("a", "v1");
   A.Steps = {{streamAnswerHead() + streamEventChunk(1), Action::Hold}};
