Paths: a target that a peer knows to leave has not died

A target that was barred by a peer counted as down: it was taken for dead, which confirms crashes of what ran on it, and as unreachable, which makes it suspect.

Barred and down are told apart. Tunnels aTargetThatOnlyThePeerKnowsToLeaveIsNotReached found 1 dead target before, and none now.

--- a/src/paths/target_paths.cpp
+++ b/src/paths/target_paths.cpp
@@ -120,7 +120,7 @@
 
 std::optional<TargetRoute>
 TargetPaths::choose(TargetRunId Target, const RouteAttempts &Tried, Time Now) {
-  if (Tried.TargetDown) {
+  if (Tried.TargetDown || Tried.TargetBarred) {
     return std::nullopt;
   }
   const Path *P = this->find(Target);
--- a/src/paths/target_paths_p.h
+++ b/src/paths/target_paths_p.h
@@ -40,6 +40,8 @@
   std::vector<HostId> Peers; ///< They gave no tunnel.
   /// A peer that reaches other targets could not reach this one.
   bool TargetDown = false;
+  /// The target takes nothing now, as a peer knows.
+  bool TargetBarred = false;
 };
 
 /// How an own connection to a target failed.
--- a/src/relay_paths.cpp
+++ b/src/relay_paths.cpp
@@ -96,8 +96,8 @@
   }
   std::optional<TunnelRefusal> Why = Answer ? *Answer : std::nullopt;
   R->Ways.Peers.push_back(Peer);
-  R->Ways.TargetDown =
-      Why == TunnelRefusal::Unreachable || Why == TunnelRefusal::TargetBarred;
+  R->Ways.TargetDown = Why == TunnelRefusal::Unreachable;
+  R->Ways.TargetBarred = Why == TunnelRefusal::TargetBarred;
   this->Paths.tunnelRefused(Run, Peer, Why, Now);
   logEvent("no-tunnel", {{"id", R->RequestId},
                          {"target", R->Target.Instance},
@@ -130,7 +130,8 @@
   if (R.Ways.TargetDown || R.Ways.Peers.empty()) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), Now);
   }
-  this->releasePlace(R, AttemptResult::Unreachable);
+  this->releasePlace(R, R.Ways.TargetBarred ? AttemptResult::Unknown
+                                            : AttemptResult::Unreachable);
   if (++R.ConnectFailures < MaxConnectFailures) {
     this->place(R);
   } else {
--- a/tests/test_tunnels.cpp
+++ b/tests/test_tunnels.cpp
@@ -444,6 +444,8 @@
   Peer->Relay->setTarget(Entry);
   CHECK(contains(this->ask("/once/x", "r1"), " 503 "));
   CHECK_EQUAL(0, A.AcceptedConnections);
+  // It leaves, which is no death.
+  CHECK_EQUAL(0, H->relay().crashes().deadTargets(ProcessClock::now()).size());
   this->cutTarget("b");
   CHECK(contains(this->ask("/once/x", "r2"), " 200 "));
 }
