--- a/src/paths/tunnel_codec.cpp
+++ b/src/paths/tunnel_codec.cpp
@@ -58,8 +58,8 @@
       return End;
     }
   }
-  return Value <= MaxFrameBytes ? std::optional<FrameHead>(size_t{Value})
-                                : std::nullopt;
+  return Value <= MaxTunnelFrameBytes ? std::optional<FrameHead>(size_t{Value})
+                                      : std::nullopt;
 }
 
 static std::string frameOf(capnp::MessageBuilder &Message) {
--- a/src/paths/tunnel_codec_p.h
+++ b/src/paths/tunnel_codec_p.h
@@ -46,7 +46,7 @@
 /// Length of the number of bytes that begins a frame, and the most bytes that
 /// may follow it.
 constexpr size_t FrameHeadBytes = 4;
-constexpr size_t MaxFrameBytes = 64 * 1024;
+constexpr size_t MaxTunnelFrameBytes = 64 * 1024;
 /// Heads without a frame, which tell how the target's connection ended. The end
 /// of the tunnel's own connection does not tell it.
 enum class TunnelEnd : uint32_t {
--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -157,7 +157,7 @@
     evbuffer *Input = bufferevent_get_input(this->Target);
     evbuffer *Output = bufferevent_get_output(this->Peer);
     while (evbuffer_get_length(Input) > 0) {
-      size_t Length = std::min(evbuffer_get_length(Input), MaxFrameBytes);
+      size_t Length = std::min(evbuffer_get_length(Input), MaxTunnelFrameBytes);
       std::string Head = frameHead(Length);
       evbuffer_add(Output, Head.data(), Head.size());
       evbuffer_remove_buffer(Input, Output, Length);
--- a/tests/fuzz_parsers.cpp
+++ b/tests/fuzz_parsers.cpp
@@ -7,9 +7,11 @@
 #include "membership_p.h"
 #include "peer_codec_p.h"
 #include "shallotlatch/settings.h"
+#include "tunnel_codec_p.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <string>
 
 using namespace shallotlatch;
@@ -27,11 +29,38 @@
   parseCallerRequest(*TestConfig, Raw);
 }
 
+// What is read of a tunnel's frames can be written again and reads the same.
+static void parseTunnelInput(const std::string &Text) {
+  std::optional<TunnelRequest> Request = decodeTunnelRequest(Text);
+  if (Request) {
+    std::optional<TunnelRequest> Again = decodeTunnelRequest(
+        encodeTunnelRequest(*Request).substr(FrameHeadBytes));
+    if (!Again || Again->From != Request->From ||
+        Again->Instance != Request->Instance ||
+        Again->Identity != Request->Identity) {
+      std::abort();
+    }
+  }
+  std::optional<TunnelAnswer> Answer = decodeTunnelAnswer(Text);
+  if (Answer && decodeTunnelAnswer(encodeTunnelAnswer(*Answer).substr(
+                    FrameHeadBytes)) != Answer) {
+    std::abort();
+  }
+  if (Text.size() >= FrameHeadBytes) {
+    std::optional<FrameHead> Head =
+        decodeFrameHead(std::string_view(Text).substr(0, FrameHeadBytes));
+    const size_t *Length = Head ? std::get_if<size_t>(&*Head) : nullptr;
+    if (Length != nullptr && (*Length == 0 || *Length > MaxTunnelFrameBytes)) {
+      std::abort();
+    }
+  }
+}
+
 // For any input, a parser returns or throws its own error type. Any other
 // exception ends the process and so fails the test.
 static void parseInput(uint8_t ParserNumber, const std::string &Text) {
   try {
-    switch (ParserNumber % 6) {
+    switch (ParserNumber % 7) {
     case 0:
       parseConfig(Text);
       return;
@@ -47,8 +76,11 @@
     case 4:
       decodeFrame(Text);
       return;
-    default:
+    case 5:
       parseCallerInput(Text);
+      return;
+    default:
+      parseTunnelInput(Text);
     }
   } catch (const ConfigError &) {
   } catch (const CodecError &) {
