Target client: a peer's bytes that are no frame end a call once

What a peer sent in place of its answer ended the call and destroyed its connection, whose socket was then read once more.

The socket is looked at only if the call goes on. Under the address sanitizer, Tunnels whatIsNoTunnelLeadsElsewhereAndRunsOnce ended with heap-use-after-free in readTunnelAnswer before; all 13 tests of the group and 5 of WireClient pass under it now.

--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -200,10 +200,10 @@
   // Returns whether the tunnel is open.
   bool readTunnelAnswer() {
     std::optional<FrameHead> Head = this->peekFrame();
-    evbuffer *Input = bufferevent_get_input(this->Socket);
     if (!Head) {
-      return false;
+      return false; // What is no frame has ended the call and its connection.
     }
+    evbuffer *Input = bufferevent_get_input(this->Socket);
     const size_t *Length = std::get_if<size_t>(&*Head);
     if (Length == nullptr) {
       this->endRefused(std::nullopt);
