--- a/src/paths/tunnel_codec_p.h
+++ b/src/paths/tunnel_codec_p.h
@@ -46,12 +46,12 @@
 /// Length of the number of bytes that begins a frame, and the most bytes that
 /// may follow it.
 constexpr size_t FrameHeadBytes = 4;
-constexpr size_t MaxFrameBytes = 64 * 1024;
+constexpr size_t MaxTunnelFrameBytes = 64 * 1024;
 /// Heads without a frame, which tell how the target's connection ended. The end
 /// of the tunnel's own connection does not tell it.
 enum class TunnelEnd : uint32_t {
   Closed = 0,          ///< The target closed it in order.
-  Broken = UINT32_MAX, ///< It was reset, or the target fell silent.
+  Broken = UINT32_MAX, ///< It was reset.
 };
 std::string tunnelEnd(TunnelEnd End);
 /// Returns the head of a frame of \p Length bytes, at least one.
--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "sockets_p.h"
+#include "tcp_options_p.h"
 #include "tunnel_codec_p.h"
 #include "wire_client_p.h"
 
@@ -27,12 +28,6 @@
 // Limit on the keep-alive timeout that a server states.
 constexpr int64_t MaxKeepAliveSeconds = 3600;
 
-// Returns whether \p Error, of a socket, says that no answer came to what was
-// sent, rather than that the other side ended the connection.
-inline bool isUnanswered(int Error) {
-  return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
-}
-
 struct PooledHttpClient::Connection : public HttpReaderEvents {
   /// Whether a peer passes the call on, and whether it has agreed.
   enum class TunnelState : uint8_t { None, Opening, Open };
@@ -205,10 +200,10 @@
   // Returns whether the tunnel is open.
   bool readTunnelAnswer() {
     std::optional<FrameHead> Head = this->peekFrame();
-    evbuffer *Input = bufferevent_get_input(this->Socket);
     if (!Head) {
-      return false;
+      return false; // What is no frame has ended the call and its connection.
     }
+    evbuffer *Input = bufferevent_get_input(this->Socket);
     const size_t *Length = std::get_if<size_t>(&*Head);
     if (Length == nullptr) {
       this->endRefused(std::nullopt);
@@ -232,8 +227,10 @@
     if (this->Call != Current) {
       return false;
     }
-    this->Owner.send(*this);
-    return this->Call == Current;
+    // Where nothing is sent, the connection is destroyed.
+    PooledHttpClient &Client = this->Owner;
+    Client.send(*this);
+    return Client.find(Current) == this;
   }
 
   void endRefused(const std::optional<TunnelAnswer> &Answer) {
--- a/tests/test_tunnels.cpp
+++ b/tests/test_tunnels.cpp
@@ -1,178 +1,21 @@
 // Tests of tunnels between hosts over sockets: what a peer passes on, how
 // tunnels end, and what follows from a peer's refusal.
 #include "connect_probe_p.h"
-#include "relay_harness.h"
-#include "sockets_p.h"
-#include "tunnel_server_p.h"
+#include "tunnel_peers.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 #include <array>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace shallotlatch;
 using Action = TargetStep::Action;
 
 namespace {
 
-const HostId Asking{11};
-const HostId Passing{22};
-const HostId Scripted{33};
-
 bool contains(const std::string &Text, const std::string &Part) {
   return Text.find(Part) != std::string::npos;
 }
 
-/// A port that refuses connections while it lives.
-class RefusingPort {
-public:
-  RefusingPort() {
-    sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
-    bind(this->Fd, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
-    this->At = boundAddress(this->Fd);
-  }
-  ~RefusingPort() { close(this->Fd); }
-  RefusingPort(const RefusingPort &) = delete;
-  RefusingPort &operator=(const RefusingPort &) = delete;
-  Address At;
-
-private:
-  int Fd = socket(AF_INET, SOCK_STREAM, 0);
-};
-
-/// A peer whose relay decides on its tunnels.
-class PassingPeer : public TunnelServerEvents {
-public:
-  PassingPeer(RelayHarness &H, uint32_t MaxTunnels, const MemoryBudgetInit &M)
-      : Directory(H.Store, this->Ignored, 1), Budget(M) {
-    FrontendInit Front;
-    Front.ListenAddress = Address{"127.0.0.1", 0};
-    this->Directory.start(FleetHost(), bootTime());
-    this->Relay = std::make_unique<RequestRelay>(H.Base, Front, RelayInit(),
-                                                 this->Directory);
-    this->Relay->configure(H.Store.Config);
-    this->startServer(H, MaxTunnels);
-  }
-  void startServer(RelayHarness &H, uint32_t MaxTunnels) {
-    this->Server.reset();
-    this->Server = std::make_unique<TunnelServer>(
-        H.Base, TunnelServerInit{Address{"127.0.0.1", 0}, MaxTunnels}, *this,
-        this->Budget);
-  }
-  std::variant<Address, TunnelRefusal>
-  onTunnelRequest(const TunnelRequest &Request) override {
-    CHECK(Request.From == Asking);
-    return this->Relay->tunnelTo(Request);
-  }
-  TunnelRefusal onTunnelConnectFailed(const TunnelRequest &Request) override {
-    return this->Relay->tunnelFailure(Request);
-  }
-  void onTunnelHead(const TunnelRequest &Request,
-                    const HttpHead &Head) override {
-    this->Relay->observeTunnelHead(Request, Head);
-  }
-  TunnelPeer entry() const { return {Passing, this->Server->address(), false}; }
-
-private:
-  IgnoringDirectoryEvents Ignored;
-  FleetDirectory Directory;
-
-public:
-  MemoryBudget Budget;
-  std::unique_ptr<RequestRelay> Relay;
-  std::unique_ptr<TunnelServer> Server;
-};
-
-/// A peer that sends given bytes once it has a request for a tunnel.
-class ScriptedPeer {
-public:
-  explicit ScriptedPeer(event_base *Base) : Base(Base) {
-    sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
-    auto OnAccept = [](evconnlistener *, evutil_socket_t Fd, sockaddr *, int,
-                       void *Arg) {
-      ScriptedPeer *P = static_cast<ScriptedPeer *>(Arg);
-      bufferevent *Socket =
-          bufferevent_socket_new(P->Base, Fd, BEV_OPT_CLOSE_ON_FREE);
-      bufferevent_setcb(Socket, &ScriptedPeer::onRead, nullptr,
-                        &ScriptedPeer::onEvent, P);
-      bufferevent_enable(Socket, EV_READ | EV_WRITE);
-      P->Open.insert(Socket);
-    };
-    this->Listener = evconnlistener_new_bind(
-        Base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 16,
-        reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
-  }
-  ~ScriptedPeer() {
-    while (!this->Open.empty()) {
-      this->end(*this->Open.begin(), false);
-    }
-    evconnlistener_free(this->Listener);
-  }
-  ScriptedPeer(const ScriptedPeer &) = delete;
-  ScriptedPeer &operator=(const ScriptedPeer &) = delete;
-  TunnelPeer entry() const {
-    return {Scripted, boundAddress(evconnlistener_get_fd(this->Listener)),
-            true};
-  }
-  /// Answers all that ask and were not answered.
-  void answerWaiting() {
-    for (bufferevent *Socket : std::set<bufferevent *>(this->Open)) {
-      bufferevent_write(Socket, this->Bytes.data(), this->Bytes.size());
-    }
-  }
-
-  std::string Bytes;
-  Action AfterSend = Action::Hold;
-  bool Answers = true;
-  uint32_t Asked = 0;
-  std::string Received; ///< What followed the requests for tunnels.
-
-private:
-  static void onRead(bufferevent *Socket, void *Arg) {
-    ScriptedPeer *P = static_cast<ScriptedPeer *>(Arg);
-    evbuffer *In = bufferevent_get_input(Socket);
-    std::string Text(evbuffer_get_length(In), '\0');
-    evbuffer_remove(In, Text.data(), Text.size());
-    if (!P->Known.insert(Socket).second) {
-      P->Received += Text;
-      return;
-    }
-    // Loopback delivers so short a message whole.
-    ++P->Asked;
-    CHECK(decodeTunnelRequest(Text.substr(FrameHeadBytes)).has_value());
-    if (!P->Answers) {
-      return;
-    }
-    ::send(bufferevent_getfd(Socket), P->Bytes.data(), P->Bytes.size(),
-           MSG_NOSIGNAL);
-    if (P->AfterSend == Action::Close || P->AfterSend == Action::Reset) {
-      P->end(Socket, P->AfterSend == Action::Reset);
-    }
-  }
-  static void onEvent(bufferevent *Socket, short, void *Arg) {
-    static_cast<ScriptedPeer *>(Arg)->end(Socket, false);
-  }
-  void end(bufferevent *Socket, bool Reset) {
-    if (Reset) {
-      linger Now{1, 0};
-      setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Now,
-                 sizeof(Now));
-    }
-    this->Open.erase(Socket);
-    this->Known.erase(Socket);
-    bufferevent_free(Socket);
-  }
-  event_base *Base;
-  evconnlistener *Listener = nullptr;
-  std::set<bufferevent *> Open;
-  std::set<bufferevent *> Known;
-};
-
 /// An answer without a length, which ends with its connection.
 std::string openEndedAnswer(const std::string &Id) {
   return "HTTP/1.1 200 OK\r\nX-Id: " + Id + "\r\nX-Stamp: s1\r\n\r\nwhole";
@@ -410,10 +253,92 @@
   Peer->Relay->setTarget(Entry);
   CHECK(contains(this->ask("/once/x", "r1"), " 503 "));
   CHECK_EQUAL(0, A.AcceptedConnections);
+  // It leaves, which is no death.
+  CHECK_EQUAL(0, H->relay().crashes().deadTargets(ProcessClock::now()).size());
   this->cutTarget("b");
   CHECK(contains(this->ask("/once/x", "r2"), " 200 "));
 }
 
+// What is held may not grow with what the other side does not read.
+TEST(Tunnels, slowReadersHoldTheSendersBack) {
+  constexpr size_t Whole = 64 * 1024 * 1024;
+  constexpr size_t MaxHeld = 24 * 1024 * 1024;
+  RawTarget Target;
+  TargetEntry Entry = this->cutTarget("a").entry();
+  Entry.At = Target.At;
+  Peer->Relay->setTarget(Entry);
+  // The caller of a stream that reads nothing.
+  int Caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in To = toSockaddr(H->relay().callerAddress());
+  CHECK_EQUAL(0,
+              connect(Caller, reinterpret_cast<sockaddr *>(&To), sizeof(To)));
+  const std::string Request =
+      "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Deadline: 20000\r\n"
+      "Authorization: Token good\r\nContent-Length: 4\r\n\r\nbody";
+  CHECK(::send(Caller, Request.data(), Request.size(), 0) > 0);
+  CHECK(H->runUntil([&Target] { return Target.accept(); }));
+  CHECK(H->runUntil([&Target] { return Target.read() > 0; }));
+  std::string Answer = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s1\r\n"
+                       "Content-Type: text/event-stream\r\n\r\n";
+  const std::string Event = "data: " + std::string(1000, 'x') + "\n\n";
+  size_t Sent = 0;
+  // The flow stops once nothing can be sent in so many rounds of the loop.
+  int Idle = 0;
+  CHECK(H->runUntil([&] {
+    while (Answer.size() < 256 * 1024) {
+      Answer += Event;
+    }
+    ssize_t Done = Target.write(Answer);
+    Idle = Done > 0 ? 0 : Idle + 1;
+    Sent += Done > 0 ? static_cast<size_t>(Done) : 0;
+    Answer.erase(0, Done > 0 ? static_cast<size_t>(Done) : 0);
+    return Sent > Whole || Idle > 50;
+  }));
+  CHECK(Sent < MaxHeld);
+  close(Caller);
+  CHECK(H->runUntil([this] { return Peer->Server->idle(); }));
+}
+
+// A connection that the peer gives up after no answer shows no crash.
+TEST(Tunnels, theSilenceOfATargetBehindAPeerIsNoCrash) {
+  RawTarget Target;
+  TargetEntry Entry = this->cutTarget("a").entry();
+  Entry.At = Target.At;
+  Peer->Relay->setTarget(Entry);
+  size_t Caller = H->connect();
+  // More than the buffers take, of which the target reads nothing.
+  const size_t Length = 2 * 1024 * 1024;
+  H->send(Caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Deadline: "
+                  "20000\r\nAuthorization: Token good\r\nConnection: "
+                  "close\r\nContent-Length: " +
+                      std::to_string(Length) + "\r\n\r\n" +
+                      std::string(Length, 'x'));
+  CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+  CHECK(contains(H->received(Caller), " 502 "));
+  // The target's death would confirm a crash.
+  H->relay().removeTarget("a");
+  CHECK_EQUAL(0, H->relay().crashes().suspectCount());
+}
+
+TEST(Tunnels, aTargetThatLeavesWhileItsTunnelOpensGetsNothing) {
+  ScriptedTarget &A = this->cutTarget("a");
+  H->relay().setTunnelPeers({Other->entry()});
+  Other->Bytes = encodeTunnelAnswer(TunnelAnswer());
+  Other->Answers = false;
+  size_t Caller = this->begin("/once/x", "r1");
+  CHECK(H->runUntil([this] { return Other->Asked == 1; }));
+  TargetEntry Entry = A.entry();
+  Entry.At = Dead.At;
+  Entry.Leaving = true;
+  H->relay().setTarget(Entry);
+  this->cutTarget("b");
+  H->relay().setTunnelPeers({Peer->entry()});
+  Other->answerWaiting();
+  CHECK(H->runUntil([this, Caller] { return H->closed(Caller); }));
+  CHECK(contains(H->received(Caller), " 200 "));
+  STRCMP_EQUAL("", Other->Received.c_str());
+}
+
 TEST(Tunnels, aStreamGoesOnOnlyAtItsVersion) {
   ScriptedTarget &A = this->cutTarget("a", "v1");
   A.Steps = {{streamAnswerHead() + streamEventChunk(1), Action::Hold}};
