--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -181,7 +181,8 @@
   C->Routes = {makeRoute("safe", RouteKind::Idempotent, 2, false),
                makeRoute("once", RouteKind::NonIdempotent, 2, false),
                makeRoute("stream", RouteKind::Stream, 2, false),
-               makeRoute("resume", RouteKind::Stream, 3, true)};
+               makeRoute("resume", RouteKind::Stream, 3, true),
+               makeRoute("again", RouteKind::Stream, 2, true)};
   for (Route &R : C->Routes) {
     R.Objective = Objective;
   }
