Answers whose status allows no body end with their head

The bytes after an interim head, or after a 204 or 304, that stated a length or chunks were read as its body: after an interim head they became part of the answer's body, and the answer's own head was read as that body; a 304 with a length, as caches send it, kept its request until the deadline. The parsing library takes the length of any status for that of a body. It is told now that there is none. The first of the two tests failed before; the second, on folded and empty framing fields, passes on the code as it was.

--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -86,13 +86,14 @@
     HttpReader &R = self(P);
     R.HeadDone = true;
     R.Head.KeepAlive = http_should_keep_alive(P) != 0;
+    bool NoBody = false;
     if (R.Role == HttpRole::Requests) {
       R.Head.Method = http_method_str(static_cast<http_method>(P->method));
     } else {
       R.Head.Status = static_cast<int>(P->status_code);
       bool Framed = (P->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
-      bool NoBody = P->status_code < 200 || P->status_code == 204 ||
-                    P->status_code == 304;
+      NoBody = P->status_code < 200 || P->status_code == 204 ||
+               P->status_code == 304;
       R.Head.BodyEndsAtClose = !Framed && !NoBody;
     }
     if (!R.isHeadValid()) {
@@ -101,14 +102,14 @@
     }
     // The owner does not see an interim (1xx) response; the final response
     // follows it.
-    if (R.Role == HttpRole::Responses && R.Head.Status < 200) {
-      return 0;
-    }
-    if (!R.Events.onHead(R.Head)) {
+    bool Interim = R.Role == HttpRole::Responses && R.Head.Status < 200;
+    if (!Interim && !R.Events.onHead(R.Head)) {
       R.RefusedHead = true;
       return -1;
     }
-    return 0;
+    // Such a response ends with its head whatever length that states (RFC 9112,
+    // 6.3). The library ends the message if told that it has no body.
+    return NoBody ? 1 : 0;
   }
   static int onBody(http_parser *P, const char *At, size_t Length) {
     self(P).Events.onBody(std::string_view(At, Length));
--- a/tests/test_http_message.cpp
+++ b/tests/test_http_message.cpp
@@ -125,3 +125,35 @@
   CHECK_EQUAL(200, Recorded.Head.Status);
   STRCMP_EQUAL("x", Recorded.Body.c_str());
 }
+
+// Guards against bytes that become part of an answer although its status
+// allows no body, and against a wait for them.
+TEST(HttpMessage, aStatusWithoutABodyEndsWithItsHead) {
+  for (const char *Frame :
+       {"Content-Length: 3", "Transfer-Encoding: chunked"}) {
+    std::string Rest = std::string("\r\n") + Frame + "\r\n\r\n";
+    CHECK_TEXT(readAnswer("HTTP/1.1 103 Hints" + Rest +
+                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+                          false) == FeedResult::Complete,
+               Frame);
+    STRCMP_EQUAL("x", Recorded.Body.c_str());
+    for (const char *Status : {"204 None", "304 Same"}) {
+      CHECK_TEXT(readAnswer(std::string("HTTP/1.1 ") + Status + Rest, false) ==
+                     FeedResult::Complete,
+                 Status);
+    }
+  }
+}
+
+// Guards against a body that ends with its connection where the head states
+// another end that the library did not read.
+TEST(HttpMessage, aLengthOrEncodingThatIsNotReadIsRefused) {
+  for (const char *Frame :
+       {"Content-Length: ", "Transfer-Encoding: chun\r\n ked",
+        "Transfer-Encoding:\r\n chun\r\n\tked"}) {
+    std::string Head = std::string("HTTP/1.1 200 OK\r\n") + Frame + "\r\n\r\n";
+    CHECK_TEXT(readAnswer(Head + "4\r\nabcd\r\n", true) ==
+                   FeedResult::Malformed,
+               Frame);
+  }
+}
