Streams: lines end as the format allows, and each byte is read once

Lines of an event stream may end with CR or CR LF too. The relay knew LF only: a stream with other line ends was never passed on; an id after a CR was missed, so that a stream which broke off went on before events that the caller had; and an id was taken with its CR, which then stood in the next request's head. The search for an event's end also began at the event's start with each read, which is quadratic in the length of an event that does not end.

A scanner of its own now keeps its place between reads.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -376,6 +376,8 @@
   this->Metrics.recordWait(R.MatchedRoute->Kind, P.Waited);
   R.HeadReceived = false;
   R.AttemptEvents = 0;
+  R.AttemptIds = 0;
+  R.Events = EventStreamScanner();
   R.AttemptFromStart = !R.ResponseBegun && R.LastEventId.empty();
   R.ReadingPaused = false;
   R.NotRun = false;
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -156,55 +156,37 @@
     return;
   }
   if (R->Body.size() + Part.size() > MaxResponseBytes) {
-    R->MayHaveRun = true;
-    // The call ends here, so its end does not count against the target.
-    OutboundCallId Current = R->Call;
-    this->releasePlace(*R, AttemptResult::Failed);
-    R->Call = Current;
-    this->fail(*R, 502, "the target's answer is over its limit");
+    this->endCallAndFail(*R, "the target's answer is over its limit");
     return;
   }
   R->Body.append(Part.data(), Part.size());
   if (R->IsEventStream) {
     this->forwardEvents(*R);
   }
-  this->account(*R);
+  if (this->findByCall(Call) == R) {
+    this->account(*R);
+  }
 }
 
-// Returns the end of the last complete event in \p Text. Sets \p LastId to the
-// id of the last event that has one and adds the number of ids to \p Count and
-// that of events to \p Events.
-static size_t findCompleteEvents(const std::string &Text, std::string &LastId,
-                                 uint32_t &Count, uint32_t &Events) {
-  size_t End = 0;
-  while (true) {
-    size_t EventEnd = Text.find("\n\n", End);
-    if (EventEnd == std::string::npos) {
-      return End;
-    }
-    size_t LineStart = End;
-    while (LineStart <= EventEnd) {
-      size_t LineEnd = Text.find('\n', LineStart);
-      if (Text.compare(LineStart, 3, "id:") == 0) {
-        size_t ValueStart =
-            LineStart + 3 + (Text[LineStart + 3] == ' ' ? 1 : 0);
-        LastId = Text.substr(ValueStart, LineEnd - ValueStart);
-        ++Count;
-      }
-      LineStart = LineEnd + 1;
-    }
-    End = EventEnd + 2;
-    ++Events;
-  }
+void RequestRelay::endCallAndFail(RelayedRequest &R, const char *Detail) {
+  R.MayHaveRun = true;
+  // The call ends here, so its end does not count against the target.
+  OutboundCallId Current = R.Call;
+  this->releasePlace(R, AttemptResult::Failed);
+  R.Call = Current;
+  this->fail(R, 502, Detail);
 }
 
 void RequestRelay::forwardEvents(RelayedRequest &R) {
-  uint32_t NewEvents = 0;
-  size_t End =
-      findCompleteEvents(R.Body, R.LastEventId, R.EventCount, NewEvents);
+  size_t End = R.Events.scan(R.Body);
   if (End == 0) {
     return;
   }
+  uint32_t NewEvents =
+      static_cast<uint32_t>(R.Events.events()) - R.AttemptEvents;
+  R.EventCount += R.Events.ids() - R.AttemptIds;
+  R.AttemptIds = R.Events.ids();
+  R.LastEventId = R.AttemptIds > 0 ? R.Events.lastId() : R.LastEventId;
   Time Now = ProcessClock::now();
   if (R.FirstEventAt == Time()) {
     R.FirstEventAt = Now;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -5,6 +5,7 @@
 
 #include "crash_guard_p.h"
 #include "directory_p.h"
+#include "event_stream_p.h"
 #include "fleet_quota_p.h"
 #include "fleet_rollouts_p.h"
 #include "front_task_p.h"
@@ -238,7 +239,9 @@
     /// its first event, or until it is known for one that goes on.
     SoftwareId Software;
     uint32_t EventCount = 0;
-    uint32_t AttemptEvents = 0;   ///< Events of the current attempt.
+    uint32_t AttemptEvents = 0; ///< Events of the current attempt.
+    uint32_t AttemptIds = 0;    ///< Of them, those with an id.
+    EventStreamScanner Events;  ///< Of the current attempt.
     bool AttemptFromStart = true; ///< It does not go on with a stream.
     bool ReadingPaused = false;   ///< The caller reads slower than the target.
   };
@@ -326,6 +329,8 @@
   /// Whether an answer with \p Head goes on with the stream that has begun.
   static bool continuesStream(const RelayedRequest &R, const HttpHead &Head);
   void forwardEvents(RelayedRequest &R);
+  /// Fails a request whose target answers wrongly, and ends the call.
+  void endCallAndFail(RelayedRequest &R, const char *Detail);
   void forwardCompleteResponse(RelayedRequest &R);
   void fail(RelayedRequest &R, int Status, const char *Detail);
   void refuse(RelayedRequest &R, int Status, const char *Detail,
