A target that repeats events goes on with no stream

A target that went on with a stream at, or before, the last event that the caller had was passed on: the caller got events twice. The relay named the last event to the target and did not look at what came back. PROTOCOL.md has events of increasing ids, so an answer whose first id is not above the last one is no rest of the stream: the caller's connection ends, as after any other answer in the middle of a stream. Only ids that are whole numbers are compared. A gap is let pass, since nothing promises that ids have none. The test failed before.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -177,11 +177,27 @@
   this->fail(R, 502, Detail);
 }
 
+// Ids of events increase. A target that goes on at or before the last event
+// that the caller has would send it again.
+bool RequestRelay::repeatsEvents(const RelayedRequest &R) {
+  std::optional<uint64_t> Last = eventNumber(R.LastEventId);
+  std::optional<uint64_t> First = eventNumber(R.Events.firstId());
+  return R.AttemptIds == 0 && Last && First && *First <= *Last;
+}
+
 void RequestRelay::forwardEvents(RelayedRequest &R) {
   size_t End = R.Events.scan(R.Body);
   if (End == 0) {
     return;
   }
+  if (repeatsEvents(R)) {
+    logEvent("stream-not-continued", {{"id", R.RequestId},
+                                      {"target", R.Target.Instance},
+                                      {"after-event", R.LastEventId},
+                                      {"event", R.Events.firstId()}});
+    this->endCallAndFail(R, "the target repeats events of the stream");
+    return;
+  }
   uint32_t NewEvents =
       static_cast<uint32_t>(R.Events.events()) - R.AttemptEvents;
   R.EventCount += R.Events.ids() - R.AttemptIds;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -328,6 +328,8 @@
   void beginResponse(RelayedRequest &R);
   /// Whether an answer with \p Head goes on with the stream that has begun.
   static bool continuesStream(const RelayedRequest &R, const HttpHead &Head);
+  /// Whether an attempt goes on at or before the last event forwarded.
+  static bool repeatsEvents(const RelayedRequest &R);
   void forwardEvents(RelayedRequest &R);
   /// Fails a request whose target answers wrongly, and ends the call.
   void endCallAndFail(RelayedRequest &R, const char *Detail);
--- a/tests/test_event_stream.cpp
+++ b/tests/test_event_stream.cpp
@@ -41,6 +41,26 @@
 }
 ;
 
+// Guards against an event that comes twice because the next target begins at,
+// or before, the last one that the caller has.
+TEST(EventStream, aTargetThatRepeatsEventsGoesOnWithNoStream) {
+  std::string Asked;
+  for (const char *Repeated : {"id: 1\ndata: boom\n\n", "id:2\ndata: boom\n\n",
+                               ": x\n\nid: 02\ndata: boom\n\n"}) {
+    std::string Answer =
+        goOn("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", Repeated, Asked);
+    CHECK_TEXT(contains(Asked, "Last-Event-Id: 2\r\n"), Repeated);
+    CHECK_FALSE_TEXT(contains(Answer, "boom"), Repeated);
+    CHECK_FALSE_TEXT(contains(Answer, "\r\n0\r\n\r\n"), Repeated);
+  }
+  for (const char *Next : {"id: 3\ndata: e3\n\n", "id: x\ndata: e3\n\n"}) {
+    std::string Answer =
+        goOn("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", Next, Asked);
+    CHECK_TEXT(contains(Answer, "data: e3"), Next);
+    CHECK_TEXT(contains(Answer, "\r\n0\r\n\r\n"), Next);
+  }
+}
+
 // Guards against ids that are missed, or read with a line end, where lines end
 // otherwise than with a line feed.
 TEST(EventStream, linesEndAsTheFormatAllows) {
