A stream does not go on after an event without an id

A stream that broke off after an event without an id was sent again from the last id, or from the start if there was none, and the caller got the events after that id twice. The place at which it stands can't be named to another target, so it now ends there. Events without data, such as those that keep a connection alive, change nothing.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -203,6 +203,7 @@
   R.EventCount += R.Events.ids() - R.AttemptIds;
   R.AttemptIds = R.Events.ids();
   R.LastEventId = R.AttemptIds > 0 ? R.Events.lastId() : R.LastEventId;
+  R.PositionKnown = R.Events.endsWithId();
   Time Now = ProcessClock::now();
   if (R.FirstEventAt == Time()) {
     R.FirstEventAt = Now;
@@ -286,6 +287,7 @@
 bool RequestRelay::tryRetry(RelayedRequest &R, const char *Cause) {
   Time Now = ProcessClock::now();
   bool Allowed = (!R.MayHaveRun || R.MatchedRoute->repeatable()) &&
+                 (!R.ResponseBegun || R.PositionKnown) &&
                  !this->Crashes.isQuarantined(R.Prints, Now) &&
                  R.Attempts < R.MatchedRoute->MaxAttempts &&
                  R.TotalSends < MaxTotalSends &&
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -242,6 +242,8 @@
     uint32_t AttemptEvents = 0; ///< Events of the current attempt.
     uint32_t AttemptIds = 0;    ///< Of them, those with an id.
     EventStreamScanner Events;  ///< Of the current attempt.
+    /// The last event forwarded has an id, so that another answer can go on.
+    bool PositionKnown = true;
     bool AttemptFromStart = true; ///< It does not go on with a stream.
     bool ReadingPaused = false;   ///< The caller reads slower than the target.
   };
--- a/tests/test_event_stream.cpp
+++ b/tests/test_event_stream.cpp
@@ -61,6 +61,20 @@
   }
 }
 
+// Guards against an event that comes twice because nothing tells the next
+// target that the caller has it.
+TEST(EventStream, aStreamThatBrokeOffAfterAnEventWithoutAnIdDoesNotGoOn) {
+  std::string Asked;
+  for (const char *First :
+       {"data: e1\n\n", "id: 1\ndata: e1\n\ndata: e2\n\n"}) {
+    std::string Answer = goOn(First, "id: 2\ndata: boom\n\n", Asked);
+    STRCMP_EQUAL_TEXT("", Asked.c_str(), First);
+    CHECK_FALSE_TEXT(contains(Answer, "\r\n0\r\n\r\n"), First);
+  }
+  goOn("id: 1\ndata: e1\n\n: alive\n\n", "id: 2\ndata: e2\n\n", Asked);
+  CHECK(contains(Asked, "Last-Event-Id: 1\r\n"));
+}
+
 // Guards against ids that are missed, or read with a line end, where lines end
 // otherwise than with a line feed.
 TEST(EventStream, linesEndAsTheFormatAllows) {
