Answers to other requests and fields of answers come in bounded number

A faulty target that sends answers to other requests without end was read until the request's deadline, with a line in the log for each; the call ends now after 100. A head of 16,000 bytes could hold 4,000 fields, which take sixteen times their bytes for each request; 1,000 fields are allowed in an answer now.

--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -6,6 +6,10 @@
 
 namespace shallotlatch {
 
+// Limit on the fields of a response. Each takes far more memory than its
+// shortest form has bytes.
+static constexpr size_t MaxResponseFields = 1000;
+
 bool equalsIgnoringCase(std::string_view A, std::string_view B) {
   return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
 }
@@ -67,6 +71,10 @@
       return 0; // Trailer fields are dropped.
     }
     if (R.Head.Fields.empty() || R.LastCallbackWasValue) {
+      if (R.Role == HttpRole::Responses &&
+          R.Head.Fields.size() >= MaxResponseFields) {
+        return -1;
+      }
       R.Head.Fields.emplace_back();
     }
     R.LastCallbackWasValue = false;
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -29,6 +29,8 @@
 static constexpr size_t MaxIdlePerAddress = 24;
 // A connection that carried more errors than this is closed.
 static constexpr size_t MaxErrorsPerConnection = 32;
+// Responses to other requests that are skipped before a call ends.
+static constexpr uint32_t MaxSkippedResponses = 100;
 // A server that answers no TCP keepalive probe for about three seconds is
 // considered lost. Callers leave a stream after a pause; these options take
 // whole seconds, so detection within half of that pause is not possible.
@@ -78,7 +80,7 @@
   bool Reused = false;
   bool KeepAlive = false;
   bool SkippingResponse = false;
-  bool SkippedResponse = false;
+  uint32_t SkippedResponses = 0; ///< Of the present call.
   bool Feeding = false;
 
   explicit Connection(PooledHttpClient &Owner)
@@ -114,8 +116,9 @@
       return true;
     case ResponseHeadAction::Skip:
       this->SkippingResponse = true;
-      this->SkippedResponse = true;
-      return !Head.BodyEndsAtClose;
+      ++this->SkippedResponses;
+      return !Head.BodyEndsAtClose &&
+             this->SkippedResponses <= MaxSkippedResponses;
     case ResponseHeadAction::Refuse:
       return false;
     }
@@ -327,7 +330,7 @@
 }
 
 void PooledHttpClient::send(Connection &C) {
-  C.SkippedResponse = false;
+  C.SkippedResponses = 0;
   C.SkippingResponse = false;
   C.IsError = false;
   C.Reader.reset();
@@ -380,7 +383,7 @@
   // A connection that carried a response to another request may carry more of
   // them, so it is not reused.
   if (End == OutboundCallEnd::Complete && C.KeepAlive && !HasUnsentOutput &&
-      !HasUnreadInput && !C.SkippedResponse &&
+      !HasUnreadInput && C.SkippedResponses == 0 &&
       C.ErrorTags.size() <= MaxErrorsPerConnection) {
     this->returnToPool(C);
   } else {
