--- a/tests/test_endless_answers.cpp
+++ b/tests/test_endless_answers.cpp
@@ -97,3 +97,21 @@
         std::string::npos);
   CHECK(H->runUntil([&] { return B.ClosedConnections == 1; }));
 }
+
+TEST(EndlessAnswers, theClientOfTheStoreClosesThem) {
+  ScriptedTarget Server(H->Base, "store");
+  Server.Steps = {{"HTTP/1.1 200 OK\r\n\r\n" + repeated("x", 17 * HeadBytes),
+                   Action::Hold, false}};
+  platform::PlatformStore Store(H->Base, Server.entry().At);
+  bool Ended = false;
+  Store.watch(DirectoryKind::Targets, 1, seconds(600),
+              ReadConsistency::MayBeStale, [&](DirectoryReply &&R) {
+                Ended = R.Result == DirectoryReply::Status::Failed;
+              });
+  // So many bytes take more iterations than one wait has.
+  for (int I = 0; I < 4 && !Ended; ++I) {
+    H->runUntil([&] { return Ended; });
+  }
+  CHECK(Ended);
+  CHECK(H->runUntil([&] { return Server.ClosedConnections == 1; }));
+}
