shallotlatchd reads no heads, chunk sizes or trailers without end

evhttp's client has no limit on a head unless one is set, and none on the number of interim heads, the line of a chunk's size or trailers: a faulty target could make shallotlatchd hold bytes until its memory was used up. A call ends now after 64 KiB before the body, or 64 MiB in all. The test failed before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -16,7 +16,10 @@
 // Largest number of idle connections that are kept per server address.
 static constexpr size_t MaxIdlePerAddress = 64;
 static constexpr Duration MaxIdleTime = seconds(20);
+// Limit on the bytes of a response, and on those of its body.
 static constexpr size_t MaxResponseBytes = 64 * 1024 * 1024;
+// Limit on the bytes of a response before its body, interim heads included.
+static constexpr size_t MaxResponseHeadBytes = 64 * 1024;
 
 /// State of one exchange from `start` until its result is reported.
 struct HttpClient::Call {
@@ -30,10 +33,12 @@
   /// Timer of the connect timeout; null on a reused connection.
   event *ConnectTimer = nullptr;
   evbuffer_cb_entry *OutputCallback = nullptr;
+  evbuffer_cb_entry *InputCallback = nullptr;
+  size_t ReceivedBytes = 0;
   HttpResult Result;
 
   ~Call() {
-    this->removeOutputCallback();
+    this->removeCallbacks();
     if (this->ConnectTimer != nullptr) {
       event_free(this->ConnectTimer);
     }
@@ -44,11 +49,20 @@
         evhttp_connection_get_bufferevent(this->Connection));
   }
 
-  void removeOutputCallback() {
+  evbuffer *input() const {
+    return bufferevent_get_input(
+        evhttp_connection_get_bufferevent(this->Connection));
+  }
+
+  void removeCallbacks() {
     if (this->OutputCallback != nullptr) {
       evbuffer_remove_cb_entry(this->output(), this->OutputCallback);
       this->OutputCallback = nullptr;
     }
+    if (this->InputCallback != nullptr) {
+      evbuffer_remove_cb_entry(this->input(), this->InputCallback);
+      this->InputCallback = nullptr;
+    }
   }
 
   static void ignoreEnd(evhttp_request *, void *) {}
@@ -56,7 +70,7 @@
   // Detaches the call from evhttp, so that later callbacks of evhttp have no
   // effect on it.
   void detach() {
-    this->removeOutputCallback();
+    this->removeCallbacks();
     if (this->EvhttpRequest != nullptr) {
       this->EvhttpRequest->cb = &Call::ignoreEnd;
       this->EvhttpRequest->chunk_cb = nullptr;
@@ -88,6 +102,19 @@
     }
   }
 
+  // evhttp bounds the body and each head alone, not the number of interim
+  // heads, the line of a chunk's size or the trailers.
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+    Call *C = static_cast<Call *>(Arg);
+    C->ReceivedBytes += Info->n_added;
+    size_t Limit =
+        C->Result.Status == 0 ? MaxResponseHeadBytes : MaxResponseBytes;
+    if (C->ReceivedBytes > Limit) {
+      C->detach();
+      C->Owner->completeCall(*C, false);
+    }
+  }
+
   static void onConnectTimeout(evutil_socket_t, short, void *Arg) {
     Call *C = static_cast<Call *>(Arg);
     C->detach();
@@ -244,6 +271,7 @@
     event_add(C.ConnectTimer, &Connect);
   }
   C.OutputCallback = evbuffer_add_cb(C.output(), &Call::onOutput, &C);
+  C.InputCallback = evbuffer_add_cb(C.input(), &Call::onInput, &C);
   evhttp_request *Out = evhttp_request_new(&Call::onDone, &C);
   evhttp_request_set_chunked_cb(Out, &Call::onChunk);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Out);
@@ -274,7 +302,7 @@
   auto It = this->Calls.find(C.Id);
   std::unique_ptr<Call> Owned = std::move(It->second);
   this->Calls.erase(It);
-  Owned->removeOutputCallback();
+  Owned->removeCallbacks();
   std::vector<IdleConnection> *List =
       KeepConnection && Owned->Request.ReuseConnection
           ? &this->IdleConnections[Owned->Request.To.text()]
--- a/tests/test_endless_answers.cpp
+++ b/tests/test_endless_answers.cpp
@@ -115,3 +115,17 @@
   CHECK(Ended);
   CHECK(H->runUntil([&] { return Server.ClosedConnections == 1; }));
 }
+
+TEST(EndlessAnswers, theClientOfTheDaemonClosesThem) {
+  const std::string Chunks =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Bytes :
+       {"HTTP/1.1 200 " + repeated("x", HeadBytes),
+        "HTTP/1.1 200 OK\r\n" + repeated("A: b\r\n", HeadBytes),
+        repeated("HTTP/1.1 100 Continue\r\nA: b\r\n\r\n", HeadBytes),
+        Chunks + "0\r\n" + repeated("A: b\r\n", HeadBytes)}) {
+    HttpResult Result;
+    CHECK_TEXT(httpClientEnds(Bytes, Result), Bytes.substr(0, 40).c_str());
+    CHECK_FALSE(Result.Complete);
+  }
+}
