shallotlatchd takes no interim head and no unread coding for a whole answer

An answer was complete if its head had a length or any transfer coding. evhttp hands out interim heads other than 100 as answers without a body, so a 103 with a length was a completed request with an empty answer, and its connection, on which the answer was still to come, went to another request. A body in a coding that evhttp does not read ends with its connection, so one that broke off was complete too. Only a final status counts now, with a length or with chunks that evhttp has read. The test failed before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -165,10 +165,11 @@
         C->consumeBody(Response);
       }
       // Without a length or a last chunk, the end of the connection does not
-      // prove that the response is complete.
+      // prove that the response is complete. An interim response never is.
       const auto &Headers = C->Result.Headers;
-      C->Result.Complete = Headers.count("content-length") != 0 ||
-                           Headers.count("transfer-encoding") != 0;
+      C->Result.Complete =
+          C->Result.Status >= 200 &&
+          (Headers.count("content-length") != 0 || Response->chunked != 0);
     }
     auto Close = C->Result.Headers.find("connection");
     bool Closing = Close != C->Result.Headers.end() && Close->second == "close";
--- a/tests/test_endless_answers.cpp
+++ b/tests/test_endless_answers.cpp
@@ -129,3 +129,28 @@
     CHECK_FALSE(Result.Complete);
   }
 }
+
+// Guards against an interim head, or a connection that ends, taken for a whole
+// answer.
+TEST(EndlessAnswers, theClientOfTheDaemonTakesNoPartForAnAnswer) {
+  HttpResult Result;
+  CHECK(httpClientEnds("HTTP/1.1 103 Hints\r\nContent-Length: 3\r\n\r\n",
+                       Result));
+  CHECK_FALSE(Result.Complete);
+  ScriptedTarget Server(H->Base, "server");
+  Server.Steps = {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\npart",
+                   Action::Close, false}};
+  HttpClient Client(H->Base);
+  HttpRequest Request;
+  Request.To = Server.entry().At;
+  Request.Path = "/";
+  bool Ended = false;
+  HttpEvents Events;
+  Events.Done = [&](const HttpResult &R) {
+    Result = R;
+    Ended = true;
+  };
+  Client.start(std::move(Request), std::move(Events));
+  CHECK(H->runUntil([&] { return Ended; }));
+  CHECK_FALSE(Result.Complete);
+}
