shallotlatchd searches an event that does not end once

The search for an event's end began at the event's start with each read, which is quadratic in its length. It begins at the last byte seen before now. No test counts this; the tests of answers pass.

--- a/src/run_task.cpp
+++ b/src/run_task.cpp
@@ -53,8 +53,10 @@
     return;
   }
   ActiveDispatch &R = It->second;
+  // What was there before holds no whole event, but may end within its end.
+  size_t Seen = R.PartialEvent.empty() ? 0 : R.PartialEvent.size() - 1;
   R.PartialEvent += Part;
-  size_t End = R.PartialEvent.find("\n\n");
+  size_t End = R.PartialEvent.find("\n\n", Seen);
   while (End != std::string::npos) {
     std::string EventText = R.PartialEvent.substr(0, End);
     R.PartialEvent.erase(0, End + 2);
