--- a/tests/memory_world.cpp
+++ b/tests/memory_world.cpp
@@ -154,8 +154,13 @@
                        field(this->Head, H.RequestId) + "\r\n" + H.ServerStamp +
                        ": s\r\n";
     size_t Big = std::min(this->size("/big/"), MaxAnswerBytes);
-    this->EventBytes = std::min(this->size("/stream/"), MaxAnswerBytes);
-    if (this->EventBytes > 0) {
+    size_t EndlessBody = this->size("/endless/body/");
+    size_t Endless = EndlessBody + this->size("/endless/head/");
+    this->EventBytes =
+        std::min(this->size("/stream/") + Endless, MaxAnswerBytes);
+    if (Endless > 0) {
+      Text += EndlessBody > 0 ? "\r\n" : "Endless: ";
+    } else if (this->EventBytes > 0) {
       Text += "Content-Type: text/event-stream\r\n"
               "Transfer-Encoding: chunked\r\n\r\n";
     } else {
@@ -298,6 +303,7 @@
   C.Routes = {makeRoute("big", RouteKind::Idempotent),
               makeRoute("stream", RouteKind::Stream),
               makeRoute("held", RouteKind::NonIdempotent),
+              makeRoute("endless", RouteKind::NonIdempotent),
               makeRoute("plain", RouteKind::Idempotent)};
   this->Store->put(DirectoryKind::Config, "main", platform::encodeConfig(C));
 }
--- a/tests/memory_world.h
+++ b/tests/memory_world.h
@@ -59,7 +59,8 @@
   bool waitReady();
   Address caller() const { return this->CallerAddress; }
   /// Returns a request as a caller sends it. Targets answer `/big/N` with N
-  /// bytes, `/stream/N` with endless events of N bytes, `/held/` never, and any
+  /// bytes, `/stream/N` with endless events of N bytes, `/endless/body/N` and
+  /// `/endless/head/N` with bytes without end there, `/held/` never, and any
   /// other path with a short answer. \p Fields: further lines, each with its
   /// line end.
   std::string request(const std::string &Path, const std::string &Fields = "",
--- a/tests/test_memory_limits.cpp
+++ b/tests/test_memory_limits.cpp
@@ -90,6 +90,18 @@
   checkBounds();
 }
 
+// Guards against answers without end that are kept until memory is used up.
+TEST(MemoryLimits, answersWithoutEnd) {
+  start();
+  for (const char *Part : {"body", "head"}) {
+    std::vector<std::unique_ptr<RawCaller>> Crowd;
+    runCrowd(Crowd, 24,
+             World->request(std::string("/endless/") + Part + "/4000000"),
+             true);
+    checkBounds();
+  }
+}
+
 // Guards against request bodies that are held several times over, or not
 // counted once they are complete.
 TEST(MemoryLimits, largeBodiesInABurst) {
