Streams: no stream goes on at a run that may have been replaced

The entry names the process, but nothing connected a sign of its end with the entry. A run whose connection was refused or broke, or was closed early while idle, or that a peer found dead is now in doubt, and streams go on elsewhere, or wait and are refused as not run. A stream that a run in doubt began has no known version and goes on nowhere. Else it ends with a new entry, or once the store has kept the old one for the time within which it removes that of a dead process.

--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -92,6 +92,7 @@
   }
   this->Relay.quota().mergePeerUse(State.Host, State.Run, State.Customers);
   this->Relay.crashes().merge(State.Crashes, State.DeadTargets, Now);
+  this->Relay.hearDeadTargets(State.Host, State.DeadTargets);
   this->Relay.mergeTargetLimits(State.Limits);
   auto It = this->Link.peers().find(State.Host);
   if (It != this->Link.peers().end() && It->second.SameDomain) {
--- a/src/placement/place_pool_p.h
+++ b/src/placement/place_pool_p.h
@@ -9,6 +9,7 @@
 #include "first_event_model_p.h"
 #include "flow_estimate_p.h"
 #include "routing_p.h"
+#include "run_doubts_p.h"
 #include "target_limits_p.h"
 #include "target_notices_p.h"
 #include "target_speed_p.h"
@@ -151,13 +152,6 @@
   Duration DrainTimeout = millis(2500);
 };
 
-/// Whether a service takes a request, as far as its targets' notices tell.
-struct ServiceOpening {
-  bool Blocked = false; ///< All targets pause or leave.
-  /// Time until a pause ends; nothing if no target is known to come back.
-  std::optional<Duration> Until;
-};
-
 /// Queue of waiting requests and state of the targets of one service.
 class ServiceScheduler {
 public:
@@ -174,6 +168,9 @@
   /// Sets what decides about versions; nullptr: every version serves. It must
   /// outlive its use.
   void setVersionFilter(VersionFilter *Filter) { this->Versions = Filter; }
+  /// Sets the runs that a request that goes on with a stream does not use. It
+  /// must outlive its use.
+  void setRunDoubts(const RunDoubts &Next) { this->Doubts = &Next; }
   /// Slots and load of the versions, as the filter tells them apart.
   VersionLoad versionLoad() const;
 
@@ -432,6 +429,8 @@
   bool isPeerLoadDelayed(const TargetEntry &Entry) const;
   /// Whether this host is one of those that may use the target.
   bool isAssignedHere(const TargetEntry &Entry) const;
+  /// Whether the target's run may go on with the stream of the request.
+  bool mayGoOnAt(const Target &T, const PlacementRequest &Request) const;
   /// Whether the target may get one more request now.
   bool usable(const Target &T, Time Now) const;
   /// Returns whether a target of this version takes new requests.
@@ -456,6 +455,7 @@
   bool Engine;
   SchedulerFeatures Features;
   VersionFilter *Versions = nullptr; ///< Not owned.
+  const RunDoubts *Doubts = nullptr; ///< Not owned.
   std::string OwnDomain;
   FirstEventModel FirstEvent;
   DomainLatency Latency;
--- a/src/placement/target_choice.cpp
+++ b/src/placement/target_choice.cpp
@@ -120,6 +120,16 @@
   return !Software.isValid() || softwareId(Target.Software) == Software;
 }
 
+// The entry of a run in doubt does not tell the version of the process that
+// answers now.
+bool ServiceScheduler::mayGoOnAt(const Target &T,
+                                 const PlacementRequest &Request) const {
+  return !Request.Software.isValid() ||
+         (hasSoftware(T.Entry, Request.Software) &&
+          (this->Doubts == nullptr ||
+           !this->Doubts->inDoubt(T.Entry.shortIdentity())));
+}
+
 bool ServiceScheduler::serves(SoftwareId Software) const {
   return std::any_of(this->Targets.begin(), this->Targets.end(),
                      [this, Software](const auto &Item) {
@@ -189,7 +199,7 @@
     if (Learns) {
       this->survey(T, All);
     }
-    if (!this->usable(T, Now) || !hasSoftware(T.Entry, Request.Software) ||
+    if (!this->usable(T, Now) || !this->mayGoOnAt(T, Request) ||
         std::find(Request.Tried.begin(), Request.Tried.end(), Item.first) !=
             Request.Tried.end()) {
       continue;
--- a/src/placement/target_notices_p.h
+++ b/src/placement/target_notices_p.h
@@ -46,6 +46,13 @@
   std::optional<Duration> PauseLeft;
 };
 
+/// Whether a service takes a request, as far as its targets' notices tell.
+struct ServiceOpening {
+  bool Blocked = false; ///< All targets pause or leave.
+  /// Time until a pause ends; nothing if no target is known to come back.
+  std::optional<Duration> Until;
+};
+
 /// Notices of the targets of one service that reached one host.
 ///
 /// Load: a release, in which all targets of a service leave or pause at the
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -40,7 +40,7 @@
     : Base(Base), Init(Init), StoreView(StoreView), Budget(Init.Memory),
       Frontend(Base, Frontend, *this, Budget),
       TargetClient(Base, *this, &Budget), Quota(Init.Slack),
-      Crashes(Init.Crashes),
+      Crashes(Init.Crashes), Doubts(Init.Crashes.DeathWindow),
       Rollouts(Init.Rollouts ? std::make_unique<FleetRollouts>(*Init.Rollouts)
                              : nullptr),
       Origins(ProcessClock::now()),
@@ -73,6 +73,7 @@
         Id, Spec != nullptr && Spec->Engine, this->Init.Domain, this->Init.Seed,
         [this] { return PlacementId{this->NextRun++}; });
     S->Places->scheduler().setFeatures(this->Init.Scheduling);
+    S->Places->scheduler().setRunDoubts(this->Doubts);
     S->Places->setOwner(this->Owner);
     S->Places->scheduler().setRemoteHosts(this->RemoteHosts);
     this->applyLimitHosts(*S->Places);
@@ -395,6 +396,8 @@
            {{"id", R.RequestId},
             {"target", P.Target.Instance},
             {"software", P.Target.Software},
+            {"run", P.Target.shortIdentity()},
+            {"in-doubt", this->Doubts.inDoubt(P.Target.shortIdentity())},
             {"after-event", R.LastEventId},
             {"resumes", R.Resumes},
             {"running", P.Running},
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -42,6 +42,9 @@
            .notices()
            .maySend(incarnationKey(R->Target), R->Request.ReceivedAt, Now);
   Usable = Usable && this->rolloutAllows(*R);
+  // The owner may not know yet that the run is in doubt.
+  R->RunInDoubt = this->Doubts.inDoubt(R->Target.shortIdentity());
+  Usable = Usable && !(R->RunInDoubt && R->Software.isValid());
   if (Trusted && Usable && !Quarantined && !Noticed) {
     R->AttemptSent = true;
     R->EverSent = true;
@@ -352,6 +355,7 @@
   }
   if (End == OutboundCallEnd::ConnectFailed) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), ProcessClock::now());
+    this->suspectRun(R.Target.shortIdentity(), "connect-failed");
     this->releasePlace(R, AttemptResult::Unreachable);
     logEvent("connect-failed",
              {{"id", R.RequestId}, {"target", R.Target.Instance}});
@@ -380,6 +384,9 @@
     }
   } else {
     this->recordCrashEvidence(R, End);
+    if (End == OutboundCallEnd::Broken) {
+      this->suspectRun(R.Target.shortIdentity(), "broken");
+    }
     this->recordRolloutEnd(R, RolloutEnd::Broken);
     this->releasePlace(R, AttemptResult::Lost);
     R.MayHaveRun = true;
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -149,6 +149,7 @@
 void RequestRelay::tick() {
   Time Now = ProcessClock::now();
   this->tickStreams(Now);
+  this->tickRuns(Now);
   this->tickRollouts(Now);
   std::vector<PlacementId> Expired;
   for (const auto &Item : this->Requests) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -10,6 +10,7 @@
 #include "front_task_p.h"
 #include "gateway_metrics_p.h"
 #include "retry_budget_p.h"
+#include "run_doubts_p.h"
 #include "service_places_p.h"
 #include "stream_origins_p.h"
 #include "wire_client_p.h"
@@ -135,6 +136,8 @@
   /// Short identities of the target processes that are leaving or were removed
   /// recently.
   std::vector<uint32_t> departingTargets(Time Now);
+  /// Takes over the short identities of the runs that a peer found dead.
+  void hearDeadTargets(HostId Peer, const std::vector<uint32_t> &Dead);
   /// Replaces the list of departing targets that the owner of this failure
   /// domain reports; \p Runs holds their short identities.
   void setOwnerDepartingTargets(const std::vector<uint32_t> &Runs);
@@ -178,6 +181,7 @@
   ResponseHeadAction onHead(OutboundCallId Call, HttpHead &Head) override;
   void onBody(OutboundCallId Call, std::string_view Part) override;
   void onEnd(OutboundCallId Call, OutboundCallEnd End) override;
+  void onIdleLost(uint64_t ServerIdentity) override;
 
 private:
   /// State of one request from its arrival to its verdict.
@@ -204,6 +208,7 @@
     bool Placed = false;      ///< The request has a place on Target.
     bool AttemptSent = false; ///< Bytes of this attempt may have been sent.
     bool EverSent = false;
+    bool RunInDoubt = false; ///< Target's run was in doubt at the sending.
     bool MayHaveRun = false;
     uint32_t Attempts = 0;   ///< Sends that no target refused to run.
     uint32_t TotalSends = 0; ///< All sends, refused ones included.
@@ -266,6 +271,12 @@
   void recordRolloutEnd(const RelayedRequest &R, RolloutEnd End);
   void applyStreamLife();
   void tickStreams(Time Now);
+  void tickRuns(Time Now);
+  /// Ends the doubts about runs to which older connections are open, and counts
+  /// the runs that are connected.
+  void compareConnections(Time Now);
+  /// Records that a connection to the run was refused or broke.
+  void suspectRun(uint32_t Run, const char *Why);
   static StreamId streamOf(const RelayedRequest &R);
   /// Whether the request goes on with a stream that began before.
   static bool goesOn(const RelayedRequest &R);
@@ -347,6 +358,8 @@
   PooledHttpClient TargetClient;
   FleetQuota Quota;
   CrashGuard Crashes;
+  RunDoubts Doubts;
+  Time NextRunCheck;
   std::unique_ptr<FleetRollouts> Rollouts; ///< nullptr: turned off.
   StreamOrigins Origins;
   std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -59,6 +59,12 @@
   if (!R.MatchedRoute->Resumable) {
     return;
   }
+  if (!R.Software.isValid() && R.RunInDoubt) {
+    R.Software = UndecidedSoftware;
+    this->Origins.recordUndecided(streamOf(R), R.Deadline + StreamLifeMargin,
+                                  Now);
+    return;
+  }
   if (!R.Software.isValid()) {
     R.Software = softwareId(R.Target.Software);
   }
@@ -122,6 +128,7 @@
   logEvent("stream-origin", {{"id", R.RequestId},
                              {"resumes", R.Resumes},
                              {"how", Software ? How : "unknown"},
+                             {"software", Software ? Software->Value : 0},
                              {"versions", this->Origins.versions(R.Service)},
                              {"life-ms", toMillis(this->longestStreamLife())}});
   this->Metrics.recordResumption(Software ? How : "unknown");
@@ -200,6 +207,11 @@
       OriginWaitState &Wait = Item.second;
       if (Wait.Stream == Answer.Stream) {
         Wait.Unanswered -= Wait.Unanswered > 0 ? 1 : 0;
+        const RelayedRequest *R = this->find(Item.first);
+        logEvent("stream-answer", {{"id", R == nullptr ? "" : R->RequestId},
+                                   {"peer", toHex(News.Host.Value)},
+                                   {"guess", Answer.IsGuess},
+                                   {"software", Answer.Software.Value}});
         if (Answer.IsGuess && Answer.Software.isValid()) {
           Wait.Guesses.insert(Answer.Software);
         } else if (Answer.IsGuess) {
--- a/src/relay_targets.cpp
+++ b/src/relay_targets.cpp
@@ -52,6 +52,7 @@
       (It->second.Service != Target.Service ||
        It->second.identity() != Target.identity())) {
     this->Crashes.onTargetDied(It->second.shortIdentity(), ProcessClock::now());
+    this->Doubts.forget(It->second.shortIdentity());
     this->TargetClient.dropIdle(It->second.At, It->second.identity());
     if (It->second.Service != Target.Service) {
       if (this->Rollouts) {
@@ -93,6 +94,7 @@
   Time Now = ProcessClock::now();
   this->RemovedTargets[It->second.shortIdentity()] = Now;
   this->Crashes.onTargetDied(It->second.shortIdentity(), Now);
+  this->Doubts.forget(It->second.shortIdentity());
   this->TargetClient.dropIdle(It->second.At, It->second.identity());
   this->ServiceOfTarget.erase(It->second.shortIdentity());
   ServiceId Service = It->second.Service;
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -78,6 +78,17 @@
   this->Unsent.push_back(Stream);
 }
 
+// The version does not enter the history of the service, which would keep
+// streams from going on that are known to have begun at its only version.
+void StreamOrigins::recordUndecided(StreamId Stream, Time Until, Time Now) {
+  extend(this->EarlierLifeEnd, Until);
+  if (this->Known.size() < MaxKnown) {
+    Entry &E = this->Known[Stream];
+    E.Software = UndecidedSoftware;
+    extend(E.Until, std::max(Until, this->lifeEnd(Now)));
+  }
+}
+
 void StreamOrigins::merge(const std::vector<StreamNote> &Notes, Time Now) {
   for (const StreamNote &Note : Notes) {
     bool IsStream = (Note.Stream.Value & 1U) != 0;
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -17,6 +17,10 @@
 using StreamId = Id<struct StreamTag, uint32_t>;
 StreamId streamId(std::string_view RequestId);
 
+/// Stands for the version of a process that is not known. No target has it,
+/// since `softwareId` returns odd numbers only.
+constexpr SoftwareId UndecidedSoftware{2};
+
 /// Returns the id by which a host asks for the history of a service, that is
 /// for the version at which all of its streams began that can still go on. It
 /// differs from the ids of streams.
@@ -71,6 +75,8 @@
   /// which no attempt goes on with it.
   void recordBegun(ServiceId Service, StreamId Stream, SoftwareId Software,
                    Time Until, Time Now);
+  /// Records a stream that a run in doubt began, so that it goes on nowhere.
+  void recordUndecided(StreamId Stream, Time Until, Time Now);
   /// Records the time for which streams may still go on, as a peer knows it.
   void mergeLife(Duration PeerLife, Time Now);
   /// Records what peers told of streams.
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -69,6 +69,7 @@
   bool Paused = false; ///< The kernel keeps what the server sends.
   event *ConnectTimer = nullptr;
   Time ConnectStartedAt;
+  Time ConnectedAt; ///< The epoch until it is established.
   Time IdleSince;
   Duration KeepAliveTime = DefaultKeepAliveTime;
   uint64_t Tag = 0;                ///< Of the present call.
@@ -167,7 +168,13 @@
 
   void handleDisconnect(short What) {
     if (!this->Call.isValid()) {
-      this->Owner.discard(*this);
+      bool Early = ProcessClock::now() - this->IdleSince < this->KeepAliveTime;
+      uint64_t Identity = this->Key.ServerIdentity;
+      PooledHttpClient &Client = this->Owner;
+      Client.discard(*this);
+      if (Early) {
+        Client.Events.onIdleLost(Identity);
+      }
       return;
     }
     if (!this->Connected) {
@@ -197,6 +204,7 @@
     Connection *C = static_cast<Connection *>(Arg);
     if ((What & BEV_EVENT_CONNECTED) != 0) {
       C->Connected = true;
+      C->ConnectedAt = ProcessClock::now();
       event_del(C->ConnectTimer);
       C->Owner.Events.onConnected(C->Call,
                                   ProcessClock::now() - C->ConnectStartedAt);
@@ -365,6 +373,19 @@
   return C != nullptr && C->Reused;
 }
 
+std::unordered_map<uint64_t, Time> PooledHttpClient::oldestConnections() const {
+  std::unordered_map<uint64_t, Time> Oldest;
+  for (const auto &Item : this->Connections) {
+    const Connection &C = *Item.second;
+    if (C.Connected) {
+      Time &At =
+          Oldest.emplace(C.Key.ServerIdentity, C.ConnectedAt).first->second;
+      At = std::min(At, C.ConnectedAt);
+    }
+  }
+  return Oldest;
+}
+
 void PooledHttpClient::finish(Connection &C, OutboundCallEnd End) {
   OutboundCallId Call = C.Call;
   this->Active.erase(Call);
--- a/src/wire_client_p.h
+++ b/src/wire_client_p.h
@@ -53,6 +53,9 @@
   virtual ResponseHeadAction onHead(OutboundCallId Call, HttpHead &Head) = 0;
   virtual void onBody(OutboundCallId Call, std::string_view Part) = 0;
   virtual void onEnd(OutboundCallId Call, OutboundCallEnd End) = 0;
+  /// The server process closed an idle connection before its keep-alive time
+  /// was over.
+  virtual void onIdleLost(uint64_t /*ServerIdentity*/) {}
 };
 
 /// A serialized request and where to send it.
@@ -100,6 +103,9 @@
   /// there was one.
   bool dropOldestIdle();
   bool reused(OutboundCallId Call) const;
+  /// Returns the time since which the oldest open connection to each server
+  /// process has been established, by the process's identity.
+  std::unordered_map<uint64_t, Time> oldestConnections() const;
   PooledHttpClientStats stats() const;
 
   struct Connection;
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -133,6 +133,14 @@
   evconnlistener_free(this->Listener);
 }
 
+void ScriptedTarget::breakConnections() {
+  for (std::unique_ptr<TargetConnection> &C : this->TargetConnections) {
+    if (C->Open) {
+      C->closeSocket(true);
+    }
+  }
+}
+
 TargetEntry ScriptedTarget::entry() const {
   TargetEntry T;
   T.Instance = this->Instance;
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -40,6 +40,9 @@
   ScriptedTarget &operator=(const ScriptedTarget &) = delete;
 
   TargetEntry entry() const;
+  /// Resets all connections, as the end of the process does. The target then
+  /// answers new ones like a process that started in its place.
+  void breakConnections();
   std::deque<TargetStep> Steps; ///< Steps in order of use; the last repeats.
   std::vector<std::string> Requests; ///< Requests read, as received.
   uint32_t AcceptedConnections = 0;
