Tests: hosts that lose their own paths to all targets

No test had a fleet in which only some hosts' connections fail.

The proxy of the soak can refuse new connections or leave them unanswered, and a target can close its connections after each answer.

--- a/tools/soak/soak_caller.cpp
+++ b/tools/soak/soak_caller.cpp
@@ -139,9 +139,7 @@
   }
 }
 
-// Joins the data of the complete events of a stream, so that an event that was
-// cut off is not compared.
-static std::string joinEventData(const std::string &Events) {
+std::string joinEventData(const std::string &Events) {
   std::string Data;
   size_t At = 0;
   while ((At = Events.find("data: ", At)) != std::string::npos) {
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -33,6 +33,10 @@
   Address At;
 };
 
+/// Joins the data of the complete events of a stream, so that an event that was
+/// cut off is not compared.
+std::string joinEventData(const std::string &Events);
+
 /// Sends planned requests and reports requests and answers to the judge.
 class SoakCaller : public HttpReaderEvents {
 public:
--- a/tools/soak/soak_proxy.cpp
+++ b/tools/soak/soak_proxy.cpp
@@ -8,6 +8,7 @@
 
 #include <stdexcept>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace shallotlatch::soak {
@@ -98,18 +99,51 @@
 
 SoakProxy::SoakProxy(event_base *Base, const Address &At,
                      const Address &Upstream)
-    : Base(Base), Upstream(Upstream) {
-  sockaddr_in Addr = toSockaddr(At);
+    : Base(Base), At(At), Upstream(Upstream) {
+  this->listen();
+}
+
+SoakProxy::~SoakProxy() { this->setNewLinks(NewLinks::Refused); }
+
+void SoakProxy::listen() {
+  sockaddr_in Addr = toSockaddr(this->At);
   this->Listener = evconnlistener_new_bind(
-      Base, &SoakProxy::onAccept, this,
+      this->Base, &SoakProxy::onAccept, this,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 512,
       reinterpret_cast<sockaddr *>(&Addr), sizeof(Addr));
   if (this->Listener == nullptr) {
-    throw std::runtime_error("soak proxy cannot listen on " + At.text());
+    throw std::runtime_error("soak proxy cannot listen on " + this->At.text());
   }
 }
 
-SoakProxy::~SoakProxy() { evconnlistener_free(this->Listener); }
+void SoakProxy::setNewLinks(NewLinks Next) {
+  if (this->Listener != nullptr) {
+    evconnlistener_free(this->Listener);
+    this->Listener = nullptr;
+  }
+  if (this->QueueFiller >= 0) {
+    close(this->QueueFiller);
+    this->QueueFiller = -1;
+  }
+  if (Next != NewLinks::Refused) {
+    this->listen();
+  }
+  if (Next == NewLinks::Unanswered) {
+    this->fillQueue();
+  }
+}
+
+void SoakProxy::fillQueue() {
+  evconnlistener_disable(this->Listener);
+  ::listen(evconnlistener_get_fd(this->Listener), 0);
+  this->QueueFiller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Addr = toSockaddr(this->At);
+  if (connect(this->QueueFiller, reinterpret_cast<sockaddr *>(&Addr),
+              sizeof(Addr)) != 0) {
+    throw std::runtime_error("soak proxy cannot fill the queue of " +
+                             this->At.text());
+  }
+}
 
 void SoakProxy::setMode(LinkMode Next) {
   LinkMode Before = this->Mode;
--- a/tools/soak/soak_proxy.h
+++ b/tools/soak/soak_proxy.h
@@ -25,6 +25,13 @@
 constexpr int LinkModeCount = 5;
 const char *linkModeName(LinkMode Mode);
 
+/// What becomes of connections that are not open yet.
+enum class NewLinks : uint8_t {
+  Accepted,
+  Refused,    ///< No socket listens.
+  Unanswered, ///< Connecting takes until the client gives up.
+};
+
 /// Listens on one address and connects each accepted connection to an upstream.
 class SoakProxy {
 public:
@@ -34,16 +41,24 @@
   SoakProxy &operator=(const SoakProxy &) = delete;
   /// Applies \p Mode to open and to new connections.
   void setMode(LinkMode Mode);
+  /// Leaves open connections alone.
+  void setNewLinks(NewLinks Next);
 
 private:
   struct Connection;
+  void listen();
+  /// Fills the listener's queue, so that the kernel drops further requests for
+  /// a connection.
+  void fillQueue();
   void closeConnection(Connection &P, bool Reset);
   static void onAccept(evconnlistener *, evutil_socket_t Fd, sockaddr *, int,
                        void *Self);
 
   event_base *Base;
+  Address At;
   Address Upstream;
   evconnlistener *Listener = nullptr;
+  int QueueFiller = -1; ///< Socket that takes the only place in the queue.
   LinkMode Mode = LinkMode::Pass;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
 };
--- a/tools/soak/soak_target.cpp
+++ b/tools/soak/soak_target.cpp
@@ -87,6 +87,9 @@
   A.CarriesKey = Raw.Headers.count("authorization") != 0;
   A.At = ProcessClock::now();
   addHeader(Http, this->Headers.RequestId.c_str(), A.Id);
+  if (!this->Init.KeepsConnections) {
+    addHeader(Http, "Connection", "close");
+  }
   const std::string &Expected =
       Raw.Headers[toLower(this->Headers.ExpectInstance)];
   bool Full = this->Runs.size() >= this->Init.Slots + MaxQueuedRequests;
