Tests: a proxy's write to a closed connection does not end the cut tests

Seen once hosts give up silent connections: the program ended by SIGPIPE in oneHostsPathsFallSilent (status 141) as the cut healed. The signal is ignored as in the soak; hosts start with its default.

--- a/tests/cut_world.cpp
+++ b/tests/cut_world.cpp
@@ -124,6 +124,8 @@
 CutWorld::CutWorld(bool KeepConnections)
     : Base(event_base_new()), Random(WorldSeed), Judge(soak::PromiseBounds()),
       Headers(platform::platformHeaders()), Hosts(HostCount) {
+  // A proxy writes held bytes to connections that hosts have closed.
+  signal(SIGPIPE, SIG_IGN);
   char Pattern[] = "/tmp/shallot-cut-XXXXXX";
   if (mkdtemp(Pattern) == nullptr) {
     throw std::runtime_error("cannot make a folder");
@@ -241,6 +243,7 @@
     for (int Fd = 3; Fd < MaxInheritedFds; ++Fd) {
       close(Fd);
     }
+    signal(SIGPIPE, SIG_DFL);
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     execl(GATEWAY_PROGRAM, GATEWAY_PROGRAM, "--config", Settings.c_str(),
           static_cast<char *>(nullptr));
