--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -32,6 +32,7 @@
       Frontend(Base, Frontend, *this, Budget),
       TargetClient(Base, *this, &Budget), Quota(Init.Slack),
       Crashes(Init.Crashes), Paths(Init.Seed), Probes(Base, *this),
+      Doubts(Init.Crashes.DeathWindow),
       Rollouts(Init.Rollouts ? std::make_unique<FleetRollouts>(*Init.Rollouts)
                              : nullptr),
       Origins(ProcessClock::now()),
@@ -64,6 +65,7 @@
         Id, Spec != nullptr && Spec->Engine, this->Init.Domain, this->Init.Seed,
         [this] { return PlacementId{this->NextRun++}; });
     S->Places->scheduler().setFeatures(this->Init.Scheduling);
+    S->Places->scheduler().setRunDoubts(this->Doubts);
     S->Places->setOwner(this->Owner);
     S->Places->scheduler().setRemoteHosts(this->RemoteHosts);
     this->applyLimitHosts(*S->Places);
@@ -367,6 +369,8 @@
   this->Metrics.recordWait(R.MatchedRoute->Kind, P.Waited);
   R.HeadReceived = false;
   R.AttemptEvents = 0;
+  R.AttemptIds = 0;
+  R.Events = EventStreamScanner();
   R.AttemptFromStart = !R.ResponseBegun && R.LastEventId.empty();
   R.ReadingPaused = false;
   R.NotRun = false;
@@ -386,6 +390,8 @@
            {{"id", R.RequestId},
             {"target", P.Target.Instance},
             {"software", P.Target.Software},
+            {"run", P.Target.shortIdentity()},
+            {"in-doubt", this->Doubts.inDoubt(P.Target.shortIdentity())},
             {"after-event", R.LastEventId},
             {"resumes", R.Resumes},
             {"running", P.Running},
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -150,6 +150,7 @@
   Time Now = ProcessClock::now();
   this->tickStreams(Now);
   this->tickPaths(Now);
+  this->tickRuns(Now);
   this->tickRollouts(Now);
   std::vector<PlacementId> Expired;
   for (const auto &Item : this->Requests) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -6,11 +6,13 @@
 #include "connect_probe_p.h"
 #include "crash_guard_p.h"
 #include "directory_p.h"
+#include "event_stream_p.h"
 #include "fleet_quota_p.h"
 #include "fleet_rollouts_p.h"
 #include "front_task_p.h"
 #include "gateway_metrics_p.h"
 #include "retry_budget_p.h"
+#include "run_doubts_p.h"
 #include "service_places_p.h"
 #include "stream_origins_p.h"
 #include "target_paths_p.h"
@@ -139,6 +141,8 @@
   /// Short identities of the target processes that are leaving or were removed
   /// recently.
   std::vector<uint32_t> departingTargets(Time Now);
+  /// Takes over the short identities of the runs that a peer found dead.
+  void hearDeadTargets(HostId Peer, const std::vector<uint32_t> &Dead);
   /// Replaces the list of departing targets that the owner of this failure
   /// domain reports; \p Runs holds their short identities.
   void setOwnerDepartingTargets(const std::vector<uint32_t> &Runs);
@@ -201,6 +205,7 @@
   ResponseHeadAction onHead(OutboundCallId Call, HttpHead &Head) override;
   void onBody(OutboundCallId Call, std::string_view Part) override;
   void onEnd(OutboundCallId Call, OutboundCallEnd End) override;
+  void onIdleLost(uint64_t ServerIdentity) override;
   // ConnectProbeEvents
   void onProbeEnd(TargetRunId Target, bool Connected) override;
 
@@ -229,6 +234,7 @@
     bool Placed = false;      ///< The request has a place on Target.
     bool AttemptSent = false; ///< Bytes of this attempt may have been sent.
     bool EverSent = false;
+    bool RunInDoubt = false; ///< Target's run was in doubt at the sending.
     bool MayHaveRun = false;
     uint32_t Attempts = 0;   ///< Sends that no target refused to run.
     uint32_t TotalSends = 0; ///< All sends, refused ones included.
@@ -269,7 +275,11 @@
     /// its first event, or until it is known for one that goes on.
     SoftwareId Software;
     uint32_t EventCount = 0;
-    uint32_t AttemptEvents = 0;   ///< Events of the current attempt.
+    uint32_t AttemptEvents = 0; ///< Events of the current attempt.
+    uint32_t AttemptIds = 0;    ///< Of them, those with an id.
+    EventStreamScanner Events;  ///< Of the current attempt.
+    /// The last event forwarded has an id, so that another answer can go on.
+    bool PositionKnown = true;
     bool AttemptFromStart = true; ///< It does not go on with a stream.
     bool ReadingPaused = false;   ///< The caller reads slower than the target.
   };
@@ -297,6 +307,12 @@
   void recordRolloutEnd(const RelayedRequest &R, RolloutEnd End);
   void applyStreamLife();
   void tickStreams(Time Now);
+  void tickRuns(Time Now);
+  /// Ends the doubts about runs to which older connections are open, and counts
+  /// the runs that are connected.
+  void compareConnections(Time Now);
+  /// Records that a connection to the run was refused or broke.
+  void suspectRun(uint32_t Run, const char *Why);
   static StreamId streamOf(const RelayedRequest &R);
   /// Whether the request goes on with a stream that began before.
   static bool goesOn(const RelayedRequest &R);
@@ -377,7 +393,11 @@
   void beginResponse(RelayedRequest &R);
   /// Whether an answer with \p Head goes on with the stream that has begun.
   static bool continuesStream(const RelayedRequest &R, const HttpHead &Head);
+  /// Whether an attempt goes on at or before the last event forwarded.
+  static bool repeatsEvents(const RelayedRequest &R);
   void forwardEvents(RelayedRequest &R);
+  /// Fails a request whose target answers wrongly, and ends the call.
+  void endCallAndFail(RelayedRequest &R, const char *Detail);
   void forwardCompleteResponse(RelayedRequest &R);
   void fail(RelayedRequest &R, int Status, const char *Detail);
   void refuse(RelayedRequest &R, int Status, const char *Detail,
@@ -400,6 +420,8 @@
   ConnectProbes Probes;
   Time NextPathTick;
   bool LoggedIsolated = false;
+  RunDoubts Doubts;
+  Time NextRunCheck;
   std::unique_ptr<FleetRollouts> Rollouts; ///< nullptr: turned off.
   StreamOrigins Origins;
   std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
--- a/src/relay_paths.cpp
+++ b/src/relay_paths.cpp
@@ -120,6 +120,8 @@
         Run, TimedOut ? PathFailure::Silent : PathFailure::Refused, Now);
     if (TimedOut) {
       this->TargetClient.dropIdle(R.Target.At, R.Target.identity());
+    } else {
+      this->suspectRun(R.Target.shortIdentity(), name(End));
     }
   }
   R.Call = OutboundCallId();
@@ -130,6 +132,7 @@
   bool IsDown = R.Ways.TargetDown || R.Ways.Peers.empty();
   if (IsDown) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), Now);
+    this->suspectRun(R.Target.shortIdentity(), "down");
   }
   this->releasePlace(R, R.Ways.TargetBarred ? AttemptResult::Unknown
                                             : AttemptResult::Unreachable);
--- a/src/wire_client.cpp
+++ b/src/wire_client.cpp
@@ -155,7 +155,7 @@
 }
 
 void PooledHttpClient::send(Connection &C) {
-  C.SkippedResponse = false;
+  C.SkippedResponses = 0;
   C.SkippingResponse = false;
   C.IsError = false;
   C.Reader.reset();
@@ -193,6 +193,21 @@
   return C != nullptr && C->Reused;
 }
 
+std::unordered_map<uint64_t, Time> PooledHttpClient::oldestConnections() const {
+  std::unordered_map<uint64_t, Time> Oldest;
+  for (const auto &Item : this->Connections) {
+    const Connection &C = *Item.second;
+    // A tunnel is older than the peer's connection to the server.
+    bool IsOwn = C.State == Connection::TunnelState::None;
+    if (C.Connected && IsOwn) {
+      Time &At =
+          Oldest.emplace(C.Key.ServerIdentity, C.ConnectedAt).first->second;
+      At = std::min(At, C.ConnectedAt);
+    }
+  }
+  return Oldest;
+}
+
 void PooledHttpClient::finish(Connection &C, OutboundCallEnd End) {
   OutboundCallId Call = C.Call;
   this->Active.erase(Call);
@@ -208,7 +223,7 @@
   // A connection that carried a response to another request may carry more of
   // them, so it is not reused.
   if (End == OutboundCallEnd::Complete && C.KeepAlive && !HasUnsentOutput &&
-      !HasUnreadInput && !C.SkippedResponse &&
+      !HasUnreadInput && C.SkippedResponses == 0 &&
       C.ErrorTags.size() <= MaxErrorsPerConnection) {
     this->returnToPool(C);
   } else {
--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -27,6 +27,8 @@
 constexpr Duration KeepAliveMargin = millis(700);
 // Limit on the keep-alive timeout that a server states.
 constexpr int64_t MaxKeepAliveSeconds = 3600;
+// Responses to other requests that are skipped before a call ends.
+constexpr uint32_t MaxSkippedResponses = 100;
 
 struct PooledHttpClient::Connection : public HttpReaderEvents {
   /// Whether a peer passes the call on, and whether it has agreed.
@@ -42,6 +44,7 @@
   bool Paused = false; ///< The kernel keeps what the server sends.
   event *ConnectTimer = nullptr;
   Time ConnectStartedAt;
+  Time ConnectedAt; ///< The epoch until it is established.
   Time IdleSince;
   Duration KeepAliveTime = DefaultKeepAliveTime;
   uint64_t Tag = 0;                ///< Of the present call.
@@ -51,7 +54,7 @@
   bool Reused = false;
   bool KeepAlive = false;
   bool SkippingResponse = false;
-  bool SkippedResponse = false;
+  uint32_t SkippedResponses = 0; ///< Of the present call.
   bool Feeding = false;
   TunnelState State = TunnelState::None;
   std::string TunnelRequestBytes; ///< To be sent once connected.
@@ -90,8 +93,9 @@
       return true;
     case ResponseHeadAction::Skip:
       this->SkippingResponse = true;
-      this->SkippedResponse = true;
-      return !Head.BodyEndsAtClose;
+      ++this->SkippedResponses;
+      return !Head.BodyEndsAtClose &&
+             this->SkippedResponses <= MaxSkippedResponses;
     case ResponseHeadAction::Refuse:
       return false;
     }
@@ -269,7 +273,13 @@
 
   void handleDisconnect(short What) {
     if (!this->Call.isValid()) {
-      this->Owner.discard(*this);
+      bool Early = ProcessClock::now() - this->IdleSince < this->KeepAliveTime;
+      uint64_t Identity = this->Key.ServerIdentity;
+      PooledHttpClient &Client = this->Owner;
+      Client.discard(*this);
+      if (Early) {
+        Client.Events.onIdleLost(Identity);
+      }
       return;
     }
     if (this->State == TunnelState::Opening) {
@@ -301,6 +311,7 @@
     Connection *C = static_cast<Connection *>(Arg);
     if ((What & BEV_EVENT_CONNECTED) != 0) {
       C->Connected = true;
+      C->ConnectedAt = ProcessClock::now();
       if (C->State == TunnelState::Opening) {
         bufferevent_write(C->Socket, C->TunnelRequestBytes.data(),
                           C->TunnelRequestBytes.size());
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -133,6 +133,14 @@
   evconnlistener_free(this->Listener);
 }
 
+void ScriptedTarget::breakConnections() {
+  for (std::unique_ptr<TargetConnection> &C : this->TargetConnections) {
+    if (C->Open) {
+      C->closeSocket(true);
+    }
+  }
+}
+
 TargetEntry ScriptedTarget::entry() const {
   TargetEntry T;
   T.Instance = this->Instance;
@@ -181,7 +189,8 @@
   C->Routes = {makeRoute("safe", RouteKind::Idempotent, 2, false),
                makeRoute("once", RouteKind::NonIdempotent, 2, false),
                makeRoute("stream", RouteKind::Stream, 2, false),
-               makeRoute("resume", RouteKind::Stream, 3, true)};
+               makeRoute("resume", RouteKind::Stream, 3, true),
+               makeRoute("again", RouteKind::Stream, 2, true)};
   for (Route &R : C->Routes) {
     R.Objective = Objective;
   }
