Gateway: the last answers of a stop are written before the process ends

What callers saw: at the end of the grace period of a planned stop, every request that was still held ended with its connection and no answer, those that had only waited for a slot too. Their callers could not tell a request that had not run from one that may have.

Cause: at the deadline the gateway handed the answers (502 for what was sent, 503 for what was not) to the connections' buffers and left the event loop in the same iteration. Buffers are written by a later iteration, which never came; the margin before the end of the grace period was not used.

Fix: at the deadline the loop goes on, for at most half of the margin, until all answers are written and all connections are closed.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -31,6 +31,9 @@
 // Time reserved before the end of the grace period for sending the last
 // responses.
 static constexpr Duration FinalResponseMargin = millis(500);
+// Part of that time within which callers get the last responses. The rest is
+// for the end of the process.
+static constexpr Duration FinalWriteTime = FinalResponseMargin / 2;
 // Maximum age of the configuration up to which keys are trusted, as a share of
 // the revocation limit.
 static constexpr double MaxKeyAgeRatio = 0.62;
@@ -312,20 +315,22 @@
 
   // Waits until the load balancer opens no more connections, then ends the loop
   // as soon as all requests are finished and all connections closed. At the
-  // deadline, ends the requests that are left.
+  // deadline, ends the requests that are left. Their responses are written by
+  // later iterations of the loop.
   void continueStop(Time Now) {
-    if (Now - this->StopRequestedAt > BalancerRemovalDelay) {
-      this->Relay->closeIdleConnections();
-      if (this->Relay->idle() &&
-          this->Relay->frontendStats().Connections == 0) {
-        event_base_loopbreak(this->Base);
-        return;
-      }
+    bool Late = Now >= this->StopDeadline;
+    if (!Late && Now - this->StopRequestedAt <= BalancerRemovalDelay) {
+      return;
     }
-    if (Now >= this->StopDeadline) {
+    this->Relay->closeIdleConnections();
+    if (Late) {
       this->Relay->stopAccepting();
       this->Relay->endAllRequests();
-      event_base_loopexit(this->Base, nullptr);
+    }
+    bool Done =
+        this->Relay->idle() && this->Relay->frontendStats().Connections == 0;
+    if (Done || Now >= this->StopDeadline + FinalWriteTime) {
+      event_base_loopbreak(this->Base);
     }
   }
 
--- a/tests/memory_world.cpp
+++ b/tests/memory_world.cpp
@@ -26,9 +26,6 @@
 static constexpr Duration ReadyLimit = seconds(20);
 static constexpr Duration AnswerLimit = seconds(5);
 static constexpr int OrdinaryAttempts = 12;
-// Slots of a target: more than the callers of any test here, so that no request
-// is refused for want of a slot.
-static constexpr uint32_t TargetSlots = 400;
 // Largest answer that a target gives.
 static constexpr size_t MaxAnswerBytes = 8 * 1024 * 1024;
 // Bytes that a target of a stream keeps unsent for one connection.
@@ -238,9 +235,9 @@
   this->Folder = Pattern;
   this->Store = std::make_unique<platform::StoreStandin>(this->Base,
                                                          this->StoreAddress, 1);
-  this->writeConfig();
-  this->addTarget("t-1", "app");
-  this->addTarget("t-2", "app");
+  this->writeConfig(2 * Init.TargetSlots);
+  this->addTarget("t-1", "app", Init.TargetSlots);
+  this->addTarget("t-2", "app", Init.TargetSlots);
   this->startGateway(Init);
   this->Loop = std::thread([this] {
     timeval Step{0, 20000};
@@ -281,13 +278,13 @@
   return R;
 }
 
-void MemoryWorld::writeConfig() {
+void MemoryWorld::writeConfig(uint32_t ConnectionLimit) {
   RoutingConfig C;
   C.Version = 1;
   ServiceSpec S;
   S.Name = "app";
   S.Id = serviceId("app");
-  S.ConnectionLimit = 2 * TargetSlots;
+  S.ConnectionLimit = ConnectionLimit;
   C.Services[S.Id] = S;
   GatewayCustomer Customer;
   Customer.Name = "customer";
@@ -299,11 +296,13 @@
               makeRoute("stream", RouteKind::Stream),
               makeRoute("held", RouteKind::NonIdempotent),
               makeRoute("plain", RouteKind::Idempotent)};
+  // Requests for `/held/` may wait for as long as any test takes.
+  C.Routes[2].Objective = C.Routes[2].Timeout;
   this->Store->put(DirectoryKind::Config, "main", platform::encodeConfig(C));
 }
 
 void MemoryWorld::addTarget(const std::string &Instance,
-                            const std::string &Service) {
+                            const std::string &Service, uint32_t Slots) {
   sockaddr_in Any = toSockaddr(Address{"127.0.0.1", 0});
   this->Listeners.push_back(evconnlistener_new_bind(
       this->Base, &MemoryWorld::onAccept, this,
@@ -314,7 +313,7 @@
   T.Service = serviceId(Service);
   T.At = boundAddress(evconnlistener_get_fd(this->Listeners.back()));
   T.Domain = "north";
-  T.Slots = TargetSlots;
+  T.Slots = Slots;
   T.StartedAtMs = 1;
   this->Store->put(DirectoryKind::Targets, Instance,
                    platform::encodeTarget(T, Service));
@@ -330,7 +329,8 @@
                    {"store", this->StoreAddress.text()},
                    {"metricsPort", 0},
                    {"memoryMb", Init.MemoryMb},
-                   {"descriptors", Init.Descriptors}};
+                   {"descriptors", Init.Descriptors},
+                   {"stopGraceSeconds", Init.StopGraceSeconds}};
   std::string Settings = this->Folder + "/settings.json";
   std::string Log = this->Folder + "/log";
   std::ofstream(Settings) << S.dump(1);
@@ -413,8 +413,10 @@
   return static_cast<uint32_t>(std::distance(begin(Entries), end(Entries)));
 }
 
+void MemoryWorld::signal(int Number) { kill(this->Pid, Number); }
+
 int MemoryWorld::stop(Duration Limit) {
-  kill(this->Pid, SIGTERM);
+  this->signal(SIGTERM);
   Time Until = ProcessClock::now() + Limit;
   int Status = 0;
   while (ProcessClock::now() < Until) {
--- a/tests/memory_world.h
+++ b/tests/memory_world.h
@@ -21,6 +21,10 @@
 struct MemoryWorldInit {
   uint32_t MemoryMb = 64;
   uint32_t Descriptors = 4096;
+  uint32_t StopGraceSeconds = 8;
+  /// Slots of each target. By default more than the callers of any test, so
+  /// that no request is refused for want of a slot.
+  uint32_t TargetSlots = 400;
 };
 
 /// A connection of a caller. It reads only when it is told to.
@@ -72,6 +76,7 @@
   uint64_t peakResidentBytes() const;
   /// Number of open descriptors of the gateway.
   uint32_t openDescriptors() const;
+  void signal(int Number);
   /// Sends SIGTERM and waits for the end; returns the exit status, or -1 if the
   /// process did not end within \p Limit.
   int stop(Duration Limit);
@@ -80,8 +85,9 @@
   struct TargetConnection;
   static void onAccept(evconnlistener *, int Fd, struct sockaddr *, int,
                        void *Self);
-  void addTarget(const std::string &Instance, const std::string &Service);
-  void writeConfig();
+  void addTarget(const std::string &Instance, const std::string &Service,
+                 uint32_t Slots);
+  void writeConfig(uint32_t ConnectionLimit);
   void startGateway(const MemoryWorldInit &Init);
 
   event_base *Base;
