Gateway: a short grace period also leaves time for what was admitted

What callers saw: with a grace period of 3 s or less, a stopping gateway admitted and passed on new requests until the moment at which it ended all requests; those got no answer of the target's. With less than 3 s it also ended requests before the last sixth of the grace period.

Cause: the time until which new requests were admitted (2.6 s) and the margin for the last answers (0.5 s) did not depend on the grace period.

Fix: the steps of a stop are computed in one place, without input or output, from the grace period. New requests are admitted for at most half of the time until all requests are ended, and refused with 503, the short Retry-After and the end of the connection after that. The host still stays, and closes idle connections only, once the load balancer has removed it. With 8 s, as before, requests are admitted for 2.6 s and ended at 7.5 s.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "http_server_p.h"
 #include "relay_p.h"
 #include "sockets_p.h"
+#include "stop_plan_p.h"
 
 #include "shallotlatch/model.h"
 
@@ -24,16 +25,6 @@
 static constexpr Duration TickInterval = millis(20);
 // Interval at which the settings file is checked for changes.
 static constexpr Duration SettingsCheckInterval = seconds(2);
-// Time after a request to stop during which the load balancer may still open
-// new connections. It probes readiness once a second and removes a host after
-// the second failed probe.
-static constexpr Duration BalancerRemovalDelay = millis(2600);
-// Time reserved before the end of the grace period for sending the last
-// responses.
-static constexpr Duration FinalResponseMargin = millis(500);
-// Part of that time within which callers get the last responses. The rest is
-// for the end of the process.
-static constexpr Duration FinalWriteTime = FinalResponseMargin / 2;
 // Maximum age of the configuration up to which keys are trusted, as a share of
 // the revocation limit.
 static constexpr double MaxKeyAgeRatio = 0.62;
@@ -77,8 +68,7 @@
   std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> LoopEvents;
   Time NextSettingsCheck;
-  Time StopDeadline;
-  Time StopRequestedAt;
+  StopPlan Stop;
   bool Stopping = false;
   bool LoggedReady = false;
   bool KeysTrusted = true;
@@ -304,32 +294,29 @@
       return;
     }
     this->Stopping = true;
-    this->StopRequestedAt = ProcessClock::now();
-    this->StopDeadline =
-        this->StopRequestedAt + this->Host.StopGrace - FinalResponseMargin;
-    this->Relay->drain(this->StopRequestedAt + BalancerRemovalDelay);
+    this->Stop = planStop(ProcessClock::now(), this->Host.StopGrace);
+    this->Relay->drain(this->Stop.AdmitUntil);
     logImportantEvent("stop", {{"why", Cause},
                                {"held", this->Relay->stats().HeldRequests},
                                {"grace-ms", toMillis(this->Host.StopGrace)}});
   }
 
-  // Waits until the load balancer opens no more connections, then ends the loop
-  // as soon as all requests are finished and all connections closed. At the
-  // deadline, ends the requests that are left. Their responses are written by
-  // later iterations of the loop.
+  // Ends the loop as soon as the load balancer opens no more connections, all
+  // requests are finished and all connections closed. Late in the grace period,
+  // ends the requests that are left. Their responses are written by later
+  // iterations of the loop.
   void continueStop(Time Now) {
-    bool Late = Now >= this->StopDeadline;
-    if (!Late && Now - this->StopRequestedAt <= BalancerRemovalDelay) {
+    if (Now <= this->Stop.EarliestExit) {
       return;
     }
     this->Relay->closeIdleConnections();
-    if (Late) {
+    if (Now >= this->Stop.EndRequestsAt) {
       this->Relay->stopAccepting();
       this->Relay->endAllRequests();
     }
     bool Done =
         this->Relay->idle() && this->Relay->frontendStats().Connections == 0;
-    if (Done || Now >= this->StopDeadline + FinalWriteTime) {
+    if (Done || Now >= this->Stop.ExitAt) {
       event_base_loopbreak(this->Base);
     }
   }
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -39,6 +39,7 @@
     Response.Fields.push_back({"Retry-After", Seconds});
   }
   Response.Body = problemDocument(Status, reasonPhrase(Status), Detail);
+  Response.Close = this->Draining && ProcessClock::now() > this->DrainUntil;
   this->Frontend.respond(R.Request.Exchange, Response);
   if (R.QuotaAmount > 0 && Status != 429) {
     this->Quota.refund(R.Customer->Id, R.QuotaAmount);
