Relay: late in a stop, only what can still be answered is sent

What callers saw: requests that waited for a slot as the host was asked to stop were sent to targets until the end of the grace period. What was sent shortly before it was cut, requests that may not be repeated among them, though they had not run while they waited.

Cause: only admission and retries knew of the stop. Nothing between the queue and the target asked whether the host is still there for the answer.

Fix: the plan of the stop names the time until which requests are sent; it leaves targets half of the time until all requests are ended (from 3.75 s to 7.5 s with a grace of 8 s). Later, a request is sent only if its deadline is not after that end. This is asked at the last point at which a request is certain not to have run, just before its bytes leave, and at each tick for those that wait, which are refused as not run with the short Retry-After, so that their callers still have time to try another host. A refusal while slots are free has a cost too, so requests that end in time are still sent, and what was sent keeps its time.

The existing test of a draining relay gets its past end of admission from a plan now, and checks the same.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -295,7 +295,7 @@
     }
     this->Stopping = true;
     this->Stop = planStop(ProcessClock::now(), this->Host.StopGrace);
-    this->Relay->drain(this->Stop.AdmitUntil);
+    this->Relay->drain(this->Stop);
     logImportantEvent("stop", {{"why", Cause},
                                {"held", this->Relay->stats().HeldRequests},
                                {"grace-ms", toMillis(this->Host.StopGrace)}});
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -168,7 +168,7 @@
     }
   }
   Time Now = ProcessClock::now();
-  if (this->Draining && Now > this->DrainUntil) {
+  if (this->isClosed(Now)) {
     this->refuse(R, 503, "this host is stopping", RetryAfterShutdown);
     return false;
   }
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -42,7 +42,8 @@
            .notices()
            .maySend(incarnationKey(R->Target), R->Request.ReceivedAt, Now);
   Usable = Usable && this->rolloutAllows(*R);
-  if (Trusted && Usable && !Quarantined && !Noticed) {
+  bool Late = !this->canAwaitAnswer(*R, Now);
+  if (Trusted && Usable && !Quarantined && !Noticed && !Late) {
     R->AttemptSent = true;
     R->EverSent = true;
     ++R->Attempts;
@@ -56,6 +57,8 @@
   if (Quarantined) {
     this->Metrics.recordQuarantine();
     this->refuseOrFail(*R, "its content crashes targets", RetryAfterQuarantine);
+  } else if (Late) {
+    this->refuseOrFail(*R, "this host stops", RetryAfterShutdown);
   } else if (Trusted) {
     // The owner may not know yet that this target is leaving. Notices bar the
     // target in the placement too, and a pause ends.
@@ -291,8 +294,7 @@
                  !this->Crashes.isQuarantined(R.Prints, Now) &&
                  R.Attempts < R.MatchedRoute->MaxAttempts &&
                  R.TotalSends < MaxTotalSends &&
-                 R.Deadline - Now > MinRetryTime &&
-                 !(this->Draining && Now > this->DrainUntil);
+                 R.Deadline - Now > MinRetryTime && !this->isClosed(Now);
   // The budget is for tries that can be sent.
   bool CanBeSent = Allowed && this->mayTryAgain(R);
   bool WithinBudget =
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -39,7 +39,7 @@
     Response.Fields.push_back({"Retry-After", Seconds});
   }
   Response.Body = problemDocument(Status, reasonPhrase(Status), Detail);
-  Response.Close = this->Draining && ProcessClock::now() > this->DrainUntil;
+  Response.Close = this->isClosed(ProcessClock::now());
   this->Frontend.respond(R.Request.Exchange, Response);
   if (R.QuotaAmount > 0 && Status != 429) {
     this->Quota.refund(R.Customer->Id, R.QuotaAmount);
@@ -171,6 +171,7 @@
       }
     }
   }
+  this->refuseUnsendable(Now);
   bool Crowded = false;
   for (const auto &Item : this->Services) {
     if (Item.second->Places->hasWaiting()) {
@@ -182,9 +183,31 @@
   this->sendPlacementMessages();
 }
 
-void RequestRelay::drain(Time Until) {
-  this->Draining = true;
-  this->DrainUntil = Until;
+void RequestRelay::drain(const StopPlan &Plan) { this->Stop = Plan; }
+
+bool RequestRelay::isClosed(Time Now) const {
+  return this->Stop && Now > this->Stop->AdmitUntil;
+}
+
+bool RequestRelay::canAwaitAnswer(const RelayedRequest &R, Time Now) const {
+  return !this->Stop || Now <= this->Stop->SendUntil ||
+         R.Deadline <= this->Stop->EndRequestsAt;
+}
+
+void RequestRelay::refuseUnsendable(Time Now) {
+  std::vector<PlacementId> Unsendable;
+  for (const auto &Item : this->Requests) {
+    if (!Item.second->Placed && !this->canAwaitAnswer(*Item.second, Now)) {
+      Unsendable.push_back(Item.first);
+    }
+  }
+  for (PlacementId Id : Unsendable) {
+    RelayedRequest *R = this->find(Id);
+    if (R != nullptr) {
+      this->service(R->Service).Places->withdraw(Id);
+      this->refuseOrFail(*R, "this host stops", RetryAfterShutdown);
+    }
+  }
 }
 
 void RequestRelay::endAllRequests() {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -15,6 +15,7 @@
 #include "wire_client_p.h"
 
 #include "shallotlatch/verdict.h"
+#include "stop_plan_p.h"
 
 #include <memory>
 #include <set>
@@ -94,8 +95,8 @@
   void setRemoteHosts(uint32_t Remote);
   void setHosts(uint32_t Hosts) { this->Hosts = Hosts; }
   void tick();
-  /// Starts draining: after \p Until, no request is admitted or retried.
-  void drain(Time Until);
+  /// Starts draining: requests are admitted and sent as \p Plan says.
+  void drain(const StopPlan &Plan);
   void closeIdleConnections() { this->Frontend.drain(); }
   void stopAccepting() { this->Frontend.stopAccepting(); }
   /// Ends all remaining requests because the process is about to stop.
@@ -299,6 +300,13 @@
   /// Applies the owner's word to the targets of a service again.
   void reapplyOwnerDepartures(ServiceId Service);
   bool admit(RelayedRequest &R);
+  /// Whether the host was asked to stop and admits no more requests.
+  bool isClosed(Time Now) const;
+  /// Whether a stopping host, as far as it can tell, is there for the answer to
+  /// a request that is sent now.
+  bool canAwaitAnswer(const RelayedRequest &R, Time Now) const;
+  /// Refuses the requests that wait and can no longer be sent.
+  void refuseUnsendable(Time Now);
   const GatewayCustomer *authenticate(const RelayedRequest &R,
                                       std::string &Detail) const;
   bool keysTrusted() const;
@@ -376,9 +384,8 @@
   HostId Owner;
   PlacementTransport *PlacementChannel = nullptr;
   event *PlacementSendEvent = nullptr;
-  bool Draining = false;
-  PlacementId StartingRun; ///< Request whose call is being started.
-  Time DrainUntil;
+  std::optional<StopPlan> Stop; ///< Empty: the host was not asked to stop.
+  PlacementId StartingRun;      ///< Request whose call is being started.
   RelayStats Counts;
 };
 
--- a/src/stop_plan.cpp
+++ b/src/stop_plan.cpp
@@ -14,8 +14,9 @@
 // A short grace period is divided by this to get that time instead, so that the
 // requests held get nearly all of the grace period.
 static constexpr int FinalResponseDivisor = 8;
-// New requests are admitted only while this part of the time until the end of
-// all requests is left, so that they have time to be answered.
+// The time until the end of all requests is divided by this to get the time
+// that a target has at least to answer a request with a later deadline. A
+// request that is refused sooner has the more time at another host.
 static constexpr int AnswerTimeDivisor = 2;
 
 StopPlan planStop(Time RequestedAt, Duration Grace) {
@@ -24,8 +25,8 @@
   StopPlan Plan;
   Plan.EndRequestsAt = RequestedAt + HoldTime;
   Plan.EarliestExit = RequestedAt + std::min(BalancerRemovalDelay, HoldTime);
-  Plan.AdmitUntil = std::min(Plan.EarliestExit,
-                             Plan.EndRequestsAt - HoldTime / AnswerTimeDivisor);
+  Plan.SendUntil = Plan.EndRequestsAt - HoldTime / AnswerTimeDivisor;
+  Plan.AdmitUntil = std::min(Plan.EarliestExit, Plan.SendUntil);
   Plan.ExitAt = Plan.EndRequestsAt + Margin / 2;
   return Plan;
 }
--- a/src/stop_plan_p.h
+++ b/src/stop_plan_p.h
@@ -12,6 +12,9 @@
   /// Until then the load balancer may open new connections, so the host stays
   /// to answer them.
   Time EarliestExit;
+  /// Requests are sent to targets. Later, only those whose deadline is not
+  /// after EndRequestsAt are.
+  Time SendUntil;
   Time EndRequestsAt; ///< The requests that are left are ended.
   Time ExitAt; ///< The process ends, even if a caller has not read its answer.
 };
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 // requests are retried, which answers callers get, and which bytes must never
 // reach them.
 #include "relay_harness.h"
+#include "stop_plan_p.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -337,7 +338,7 @@
           "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
           "Authorization: Token good\r\nContent-Length: 0\r\n\r\n");
   CHECK(H->runUntil([&] { return contains(H->received(StreamCaller), "e1"); }));
-  H->relay().drain(ProcessClock::now() - seconds(1));
+  H->relay().drain(planStop(ProcessClock::now() - seconds(4), seconds(8)));
   H->relay().closeIdleConnections();
   std::string Answer = H->sendRequest("/safe/x", "r2", "\r\n\r\n");
   CHECK(contains(Answer, " 503 "));
