--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "http_server_p.h"
 #include "relay_p.h"
 #include "sockets_p.h"
+#include "stop_plan_p.h"
 #include "tunnel_server_p.h"
 
 #include "shallotlatch/model.h"
@@ -25,13 +26,6 @@
 static constexpr Duration TickInterval = millis(20);
 // Interval at which the settings file is checked for changes.
 static constexpr Duration SettingsCheckInterval = seconds(2);
-// Time after a request to stop during which the load balancer may still open
-// new connections. It probes readiness once a second and removes a host after
-// the second failed probe.
-static constexpr Duration BalancerRemovalDelay = millis(2600);
-// Time reserved before the end of the grace period for sending the last
-// responses.
-static constexpr Duration FinalResponseMargin = millis(500);
 // Maximum age of the configuration up to which keys are trusted, as a share of
 // the revocation limit.
 static constexpr double MaxKeyAgeRatio = 0.62;
@@ -81,8 +75,7 @@
   std::unique_ptr<HttpServer> MetricsServer;
   std::vector<event *> LoopEvents;
   Time NextSettingsCheck;
-  Time StopDeadline;
-  Time StopRequestedAt;
+  StopPlan Stop;
   bool Stopping = false;
   bool LoggedReady = false;
   bool KeysTrusted = true;
@@ -322,32 +315,31 @@
       return;
     }
     this->Stopping = true;
-    this->StopRequestedAt = ProcessClock::now();
-    this->StopDeadline =
-        this->StopRequestedAt + this->Host.StopGrace - FinalResponseMargin;
-    this->Relay->drain(this->StopRequestedAt + BalancerRemovalDelay);
+    this->Stop = planStop(ProcessClock::now(), this->Host.StopGrace);
+    this->Relay->drain(this->Stop);
     this->Tunnels->stop();
     logImportantEvent("stop", {{"why", Cause},
                                {"held", this->Relay->stats().HeldRequests},
                                {"grace-ms", toMillis(this->Host.StopGrace)}});
   }
 
-  // Waits until the load balancer opens no more connections, then ends the loop
-  // as soon as all requests are finished and all connections closed. At the
-  // deadline, ends the requests that are left.
+  // Ends the loop as soon as the load balancer opens no more connections, all
+  // requests are finished and all connections closed. Late in the grace period,
+  // ends the requests that are left. Their responses are written by later
+  // iterations of the loop.
   void continueStop(Time Now) {
-    if (Now - this->StopRequestedAt > BalancerRemovalDelay) {
-      this->Relay->closeIdleConnections();
-      if (this->Relay->idle() && this->Tunnels->idle() &&
-          this->Relay->frontendStats().Connections == 0) {
-        event_base_loopbreak(this->Base);
-        return;
-      }
+    if (Now <= this->Stop.EarliestExit) {
+      return;
     }
-    if (Now >= this->StopDeadline) {
+    this->Relay->closeIdleConnections();
+    if (Now >= this->Stop.EndRequestsAt) {
       this->Relay->stopAccepting();
       this->Relay->endAllRequests();
-      event_base_loopexit(this->Base, nullptr);
+    }
+    bool Done = this->Relay->idle() && this->Tunnels->idle() &&
+                this->Relay->frontendStats().Connections == 0;
+    if (Done || Now >= this->Stop.ExitAt) {
+      event_base_loopbreak(this->Base);
     }
   }
 
--- a/src/relay_paths.cpp
+++ b/src/relay_paths.cpp
@@ -120,8 +120,6 @@
         Run, TimedOut ? PathFailure::Silent : PathFailure::Refused, Now);
     if (TimedOut) {
       this->TargetClient.dropIdle(R.Target.At, R.Target.identity());
-    } else {
-      this->suspectRun(R.Target.shortIdentity(), name(End));
     }
   }
   R.Call = OutboundCallId();
@@ -132,7 +130,11 @@
   bool IsDown = R.Ways.TargetDown || R.Ways.Peers.empty();
   if (IsDown) {
     this->Crashes.onTargetDied(R.Target.shortIdentity(), Now);
-    this->suspectRun(R.Target.shortIdentity(), "down");
+  }
+  // A tunnel that opens shows that the process lives, so a connection that was
+  // refused before it was the path's.
+  if (!R.Ways.TargetBarred) {
+    this->suspectRun(R.Target.shortIdentity(), name(End));
   }
   this->releasePlace(R, R.Ways.TargetBarred ? AttemptResult::Unknown
                                             : AttemptResult::Unreachable);
@@ -249,7 +251,7 @@
   if (this->withOwnerDeparture(Target).Leaving || Noticed) {
     return TunnelRefusal::TargetBarred;
   }
-  if (this->Draining) {
+  if (this->Stop.has_value()) {
     return TunnelRefusal::Stopping;
   }
   if (this->Paths.isLost(runOf(Target)) || this->Paths.isIsolated(Now)) {
