Paths: the word of one peer of the own domain does not prove a target down

The log of one run shows the cause: the cut host asked a peer of its domain first, which had lost its paths at the same moment, did not know it yet and said that the target could not be reached; the host took the target for down, and the next, until none was left.

The word of a peer of the own domain now needs that of another host; after a refusal, hosts of other domains are asked.

A run is put in doubt only if its target is taken for down, not for lack of a tunnel. The log line of a target names its process run.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -400,6 +400,7 @@
                                  {"domain", Target.Domain},
                                  {"slots", Target.Slots},
                                  {"software", Target.Software},
+                                 {"run", Target.shortIdentity()},
                                  {"leaving", Target.Leaving}});
     this->Relay->setTarget(Target);
   }
--- a/src/paths/target_paths.cpp
+++ b/src/paths/target_paths.cpp
@@ -8,6 +8,10 @@
 // domain lose their paths together, so it takes one more than the failure
 // domains that a deployment may lose at a time.
 static constexpr size_t MaxPeersAsked = 3;
+// Peers of the own failure domain that are believed to say that a target is
+// down. Of two hosts that lose their paths together, one has noticed it by
+// then.
+static constexpr uint32_t WordsOfOwnDomain = 2;
 // Lost paths from which on the fault is taken to lie with this host, if no own
 // connection has shown a sign of life for `IsolationSilence`. One alone may be
 // the fault of the target's link.
@@ -32,6 +36,19 @@
 static constexpr Duration RefusingPeerDelay = seconds(1);
 static constexpr Duration SilentPeerDelay = seconds(5);
 
+// The hosts of a failure domain lose their paths together, and one that has
+// just lost them does not know it. So the word of a peer of the own domain
+// needs that of another host.
+void RouteAttempts::noteRefusal(const TunnelPeer &Peer,
+                                std::optional<TunnelRefusal> Why) {
+  this->Peers.push_back(Peer.Id);
+  this->TargetBarred = Why == TunnelRefusal::TargetBarred;
+  if (Why == TunnelRefusal::Unreachable) {
+    ++this->SaidDown;
+    this->TargetDown = !Peer.SameDomain || this->SaidDown >= WordsOfOwnDomain;
+  }
+}
+
 void TargetPaths::addTarget(TargetRunId Target) { this->Paths[Target]; }
 
 void TargetPaths::removeTarget(TargetRunId Target) {
@@ -216,18 +233,22 @@
 void TargetPaths::tunnelRefused(TargetRunId Target, HostId Peer,
                                 std::optional<TunnelRefusal> Why, Time Now) {
   auto State = this->Peers.find(Peer);
-  if (Why == TunnelRefusal::Unreachable) {
-    Path *P = this->find(Target);
-    if (P != nullptr) {
-      this->setLost(*P, false);
-      P->FailedAt.reset();
-    }
-  } else if (State != this->Peers.end() && Why != TunnelRefusal::TargetBarred) {
+  bool OfTarget =
+      Why == TunnelRefusal::Unreachable || Why == TunnelRefusal::TargetBarred;
+  if (State != this->Peers.end() && !OfTarget) {
     State->second.RefusesUntil =
         Now + (Why ? RefusingPeerDelay : SilentPeerDelay);
   }
 }
 
+void TargetPaths::targetDown(TargetRunId Target) {
+  Path *P = this->find(Target);
+  if (P != nullptr) {
+    this->setLost(*P, false);
+    P->FailedAt.reset();
+  }
+}
+
 std::vector<TargetRunId> TargetPaths::takeProbes(Time Now) {
   std::vector<TargetRunId> Probes;
   bool Quiet = !this->LastSign || Now - *this->LastSign >= SilenceBeforeProbe;
--- a/src/paths/target_paths_p.h
+++ b/src/paths/target_paths_p.h
@@ -38,10 +38,21 @@
 struct RouteAttempts {
   bool Direct = false;       ///< An own connection failed.
   std::vector<HostId> Peers; ///< They gave no tunnel.
-  /// A peer that reaches other targets could not reach this one.
+  /// Peers that reach other targets, but not this one.
+  uint32_t SaidDown = 0;
+  /// They are enough to take the target for down.
   bool TargetDown = false;
-  /// A peer knows that the target leaves or pauses.
+  /// The target takes nothing now, as a peer knows.
   bool TargetBarred = false;
+
+  /// Records that \p Peer gave no tunnel. \p Why: its answer; nothing if none
+  /// came.
+  void noteRefusal(const TunnelPeer &Peer, std::optional<TunnelRefusal> Why);
+  /// Whether the target is down, once no way is left: all peers that were asked
+  /// say so, or there was none to ask.
+  bool isDown() const {
+    return this->TargetDown || this->SaidDown == this->Peers.size();
+  }
 };
 
 /// How an own connection to a target failed.
@@ -93,6 +104,8 @@
   /// `connected` or `probeFailed`.
   std::vector<TargetRunId> takeProbes(Time Now);
   void probeFailed(TargetRunId Target, Time Now);
+  /// The target itself is down, so its failures tell nothing of the path.
+  void targetDown(TargetRunId Target);
 
   /// Whether the own path to \p Target is lost.
   bool isLost(TargetRunId Target) const;
--- a/src/relay_paths.cpp
+++ b/src/relay_paths.cpp
@@ -95,9 +95,7 @@
     return;
   }
   std::optional<TunnelRefusal> Why = Answer ? *Answer : std::nullopt;
-  R->Ways.Peers.push_back(Peer);
-  R->Ways.TargetDown = Why == TunnelRefusal::Unreachable;
-  R->Ways.TargetBarred = Why == TunnelRefusal::TargetBarred;
+  R->Ways.noteRefusal(*R->Through, Why);
   this->Paths.tunnelRefused(Run, Peer, Why, Now);
   logEvent("no-tunnel", {{"id", R->RequestId},
                          {"target", R->Target.Instance},
@@ -127,14 +125,12 @@
     return;
   }
   R.Tried.push_back(R.Target.Instance);
-  bool IsDown = R.Ways.TargetDown || R.Ways.Peers.empty();
-  if (IsDown) {
+  if (!R.Ways.TargetBarred && R.Ways.isDown()) {
+    // A tunnel that opens shows that a process lives, so a connection that was
+    // refused before it was the path's.
     this->Crashes.onTargetDied(R.Target.shortIdentity(), Now);
-  }
-  // A tunnel that opens shows that the process lives, so a connection that was
-  // refused before it was the path's.
-  if (!R.Ways.TargetBarred) {
     this->suspectRun(R.Target.shortIdentity(), name(End));
+    this->Paths.targetDown(Run);
   }
   this->releasePlace(R, R.Ways.TargetBarred ? AttemptResult::Unknown
                                             : AttemptResult::Unreachable);
