Tests of cuts: all ports are drawn at once

CutPaths oneHostsPathsFallSilent failed once in a run of all checks, as a host did not become ready within 20 s. The ports of targets and proxies were drawn after those of the hosts, on which nothing listened yet, so that a proxy could take the port of a host: of 16,000 ports, in some 2 of 100 worlds.

--- a/tests/cut_world.cpp
+++ b/tests/cut_world.cpp
@@ -131,7 +131,9 @@
     throw std::runtime_error("cannot make a folder");
   }
   this->Folder = Pattern;
-  std::vector<Address> Free = freeAddresses(HostCount * size_t{4});
+  // All at once: hosts listen on theirs later.
+  std::vector<Address> Free =
+      freeAddresses(HostCount * size_t{4} + TargetCount * (1 + HostCount));
   for (HostParts &H : this->Hosts) {
     for (Address *At : {&H.Caller, &H.Ready, &H.Peer, &H.StoreAt}) {
       *At = Free.back();
@@ -155,7 +157,7 @@
       }
     }
   }
-  this->addTargets(KeepConnections);
+  this->addTargets(KeepConnections, std::move(Free));
   for (uint32_t I = 0; I < HostCount; ++I) {
     this->startHost(I);
   }
@@ -182,8 +184,7 @@
   }
 }
 
-void CutWorld::addTargets(bool KeepConnections) {
-  std::vector<Address> Free = freeAddresses(TargetCount * (1 + HostCount));
+void CutWorld::addTargets(bool KeepConnections, std::vector<Address> Free) {
   for (uint32_t I = 0; I < TargetCount; ++I) {
     std::string Service = I < TargetCount / 2 ? "plain" : "engine";
     soak::TargetInit Init;
--- a/tests/cut_world.h
+++ b/tests/cut_world.h
@@ -74,7 +74,8 @@
     std::vector<bufferevent *> Idle; ///< Kept connections of callers.
   };
 
-  void addTargets(bool KeepConnections);
+  /// \p Free: addresses for the targets and their proxies.
+  void addTargets(bool KeepConnections, std::vector<Address> Free);
   void startHost(uint32_t Host);
   void sendNext();
   bufferevent *connect(uint32_t Host);
