--- a/tests/cut_world.cpp
+++ b/tests/cut_world.cpp
@@ -9,14 +9,10 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <stdexcept>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 namespace shallotlatch {
@@ -45,33 +41,6 @@
 static constexpr uint32_t ContentCount = 12;
 static constexpr uint32_t PromptPartCount = 3;
 static constexpr uint64_t WorldSeed = 42;
-// Ports to listen on: below those that the kernel gives to outgoing
-// connections, which could take one while nothing listens there.
-static constexpr uint16_t FirstPort = 16000;
-static constexpr uint16_t LastPort = 32000;
-// A new process closes the inherited descriptors below this number.
-static constexpr int MaxInheritedFds = 1024;
-
-// Finds free ports. All are held until the last is found, so that they differ.
-static std::vector<Address> freeAddresses(size_t Count) {
-  std::vector<int> Fds;
-  std::vector<Address> Out;
-  std::random_device Seed;
-  std::uniform_int_distribution<uint16_t> Ports(FirstPort, LastPort);
-  while (Out.size() < Count) {
-    int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in At = toSockaddr(Address{"127.0.0.1", Ports(Seed)});
-    if (bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)) == 0) {
-      Out.push_back(boundAddress(Fd));
-    }
-    Fds.push_back(Fd);
-  }
-  for (int Fd : Fds) {
-    close(Fd);
-  }
-  return Out;
-}
-
 double CutCounts::share() const {
   return this->Sent == 0 ? 0 : static_cast<double>(this->Served) / this->Sent;
 }
@@ -132,13 +101,14 @@
   }
   this->Folder = Pattern;
   // All at once: hosts listen on theirs later.
-  std::vector<Address> Free =
-      freeAddresses(HostCount * size_t{4} + TargetCount * (1 + HostCount));
+  std::vector<Address> Free = soak::freeAddresses(
+      HostCount * size_t{4} + TargetCount * (1 + HostCount));
   for (HostParts &H : this->Hosts) {
     for (Address *At : {&H.Caller, &H.Ready, &H.Peer, &H.StoreAt}) {
       *At = Free.back();
       Free.pop_back();
     }
+    H.Process = std::make_unique<soak::GatewayProcess>();
     H.Store = std::make_unique<platform::StoreStandin>(this->Base, H.StoreAt,
                                                        WorldSeed);
     H.Store->put(DirectoryKind::Config, "main",
@@ -163,13 +133,9 @@
   }
 }
 
-// Kills only processes that this object started.
 CutWorld::~CutWorld() {
   for (HostParts &H : this->Hosts) {
-    if (H.Pid > 0) {
-      kill(H.Pid, SIGKILL);
-      waitpid(H.Pid, nullptr, 0);
-    }
+    H.Process->kill();
     for (bufferevent *Socket : H.Idle) {
       bufferevent_free(Socket);
     }
@@ -233,23 +199,7 @@
                    {"retryWindowSeconds", 10},
                    {"memoryMb", 260},
                    {"descriptors", 1024}};
-  std::string Settings = this->Folder + "/" + hostName(Host) + ".json";
-  std::string Log = this->logPath(Host);
-  std::ofstream(Settings) << S.dump(1);
-  H.Pid = fork();
-  if (H.Pid == 0) {
-    int Out = open(Log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
-    dup2(Out, 1);
-    dup2(Out, 2);
-    for (int Fd = 3; Fd < MaxInheritedFds; ++Fd) {
-      close(Fd);
-    }
-    signal(SIGPIPE, SIG_DFL);
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    execl(GATEWAY_PROGRAM, GATEWAY_PROGRAM, "--config", Settings.c_str(),
-          static_cast<char *>(nullptr));
-    _exit(127);
-  }
+  H.Process->start(GATEWAY_PROGRAM, this->Folder, S);
 }
 
 void CutWorld::setPaths(uint32_t Host, PathCut Cut) {
--- a/tests/cut_world.h
+++ b/tests/cut_world.h
@@ -4,6 +4,7 @@
 /// but the processes run in the caller's thread.
 #pragma once
 
+#include "gateway_process.h"
 #include "soak_proxy.h"
 #include "soak_target.h"
 #include "store_standin.h"
@@ -67,7 +68,7 @@
 private:
   struct Call;
   struct HostParts {
-    int Pid = 0;
+    std::unique_ptr<soak::GatewayProcess> Process;
     Address Caller, Ready, Peer, StoreAt;
     std::unique_ptr<platform::StoreStandin> Store;
     std::vector<std::unique_ptr<soak::SoakProxy>> Proxies;
