Streams: a host's view of versions counts once the store has confirmed it

Callers saw streams of a new software version go on at the old one at a host that was cut off as the version joined. The host asked its peers who began the stream, heard nothing, and took its own view from before the cut for the fleet's; hosts that were cut off together agreed with each other. After an outage of the store a list showed only what was left, so that a version that had come and gone was never noticed.

A stream that no peer knows now goes on only if the store, asked after the stream was taken up, has told all changes of targets up to then, those of targets that have gone too (FleetDirectory::confirmTargets), and one version served. While the store is silent, more than half of the peers asked have to have seen that version alone. A host vouches for a version to one that started lately only after the same confirmation; a gap in what it read takes its knowledge back until peers vouch again.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -26,9 +26,6 @@
 // Targets whose entries lapsed while the store was unreachable have renewed
 // them within two seconds of its return; until then the old entries are used.
 static constexpr Duration LapseGrace = millis(2200);
-// Heartbeats without a sign of life after which the store removes a target's
-// entry.
-static constexpr int HeartbeatsUntilRemoval = 3;
 // Time after the store's return from a copy for which missing hosts are kept.
 // A host may notice late that its entry is missing, and while it is kept, its
 // peers exchange states with it and count it.
@@ -189,6 +186,7 @@
     this->restartList(this->feed(DirectoryKind::Targets));
   }
   this->confirm(CurrentTime);
+  this->tickTargetHistory();
   this->markSettledEra();
   // The list shows the eras that hosts saw settle before this host replaces the
   // entry of its earlier run.
@@ -244,6 +242,7 @@
       Item.second.Revision = 0;
     }
   }
+  this->History.Revision = 0;
   this->CopyBehind = this->Config != nullptr;
   this->LapseGraceEnd = this->Now + LapseGrace;
   this->HostGraceEnd = this->Now + HostReturnGrace;
@@ -387,6 +386,14 @@
     this->finishList(Kind);
   } else {
     this->applyChanges(Kind, Reply.Objects);
+    if (Kind == DirectoryKind::Targets) {
+      this->recordTargetChanges(Reply.Objects, F.WatchRevision,
+                                Reply.StoreRevision);
+      if (F.CallMode == ReadConsistency::Linearizable &&
+          F.WatchRevision <= this->History.Revision) {
+        this->History.ConfirmedAt = std::max(this->History.ConfirmedAt, ReadAt);
+      }
+    }
     F.WatchRevision = Reply.StoreRevision;
   }
   bool IsCurrent = F.CallMode == ReadConsistency::Linearizable &&
@@ -435,6 +442,14 @@
                                  {"objects", F.Objects.size()},
                                  {"revision", F.WatchRevision}});
   }
+  if (Kind == DirectoryKind::Targets && this->History.Revision == 0) {
+    this->History.Revision = F.WatchRevision;
+    if (F.CallMode == ReadConsistency::Linearizable) {
+      this->History.ConfirmedAt = F.List.StartedAt;
+    }
+  } else if (Kind == DirectoryKind::Targets) {
+    this->History.FillAt = this->Now + this->historyFillDelay();
+  }
   F.Synced = true;
   F.Listing = false;
   F.IsReturnList = false;
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -100,11 +100,23 @@
   virtual void onConfirmStarted() = 0;
   /// The store replied that \p ConfigVersion is the newest.
   virtual void onConfirmed(uint64_t ConfigVersion) = 0;
+  /// An entry of a target was in the store, perhaps for a while only.
+  virtual void onTargetSeen(const TargetEntry &Target) = 0;
+  /// All entries of targets that were ever in the store up to \p ReadAt have
+  /// been reported since the last onTargetChangesMissed.
+  virtual void onTargetsConfirmed(Time ReadAt) = 0;
+  /// The store did not answer a call of `confirmTargets`.
+  virtual void onTargetsUnconfirmed() = 0;
+  /// Entries of targets may have come and gone that were not reported.
+  virtual void onTargetChangesMissed() = 0;
 };
 
 /// Time after the end of its wait at which a call without a reply is given up,
 /// together with its connection.
 constexpr Duration DirectoryCallTimeout = millis(900);
+/// Heartbeats without a sign of life after which the store removes a target's
+/// entry.
+constexpr int HeartbeatsUntilRemoval = 3;
 
 /// Lists and then watches the objects of each kind. Times are passed in; their
 /// clock has to advance while the machine is suspended.
@@ -150,6 +162,10 @@
     return this->Feeds[index(Kind)].Synced;
   }
   bool reachable() const { return this->Reachable; }
+  /// Asks the store for the changes of targets up to now, unless a call for
+  /// them is about to start anyway. `onTargetsConfirmed` or
+  /// `onTargetsUnconfirmed` follows, perhaps from within this call.
+  void confirmTargets(Time Now);
   uint64_t storeEra() const { return this->Eras.current(); }
   const std::shared_ptr<const RoutingConfig> &config() const {
     return this->Config;
@@ -201,6 +217,33 @@
     std::map<std::string, Time> PendingRemovals;
   };
 
+  /// Which changes of targets were reported. The list after an outage shows
+  /// only the entries that are left.
+  struct TargetHistory {
+    /// All changes up to this revision were reported; 0 until the first list.
+    uint64_t Revision = 0;
+    Time ConfirmedAt; ///< Latest time at which that was all there was.
+    bool Wanted = false;
+    Time WantedAt;
+    /// Time at which the changes before the last list are read.
+    std::optional<Time> FillAt;
+    bool CallInFlight = false;
+    /// Number of the last call; replies to other calls are dropped.
+    uint32_t CallNumber = 0;
+    Time CallStartedAt;
+  };
+
+  /// Returns the time until the changes before a list are read, which differs
+  /// between hosts.
+  Duration historyFillDelay() const;
+  void callTargetHistory();
+  void onTargetHistory(DirectoryReply &&Reply);
+  /// Reports the targets in \p Changes, which follow on \p From.
+  void recordTargetChanges(const std::vector<DirectoryObject> &Changes,
+                           uint64_t From, uint64_t To);
+  void tickTargetHistory();
+  void endTargetHistoryCall();
+
   bool isRead(DirectoryKind Kind) const {
     return Kind != DirectoryKind::Rollouts || this->RolloutsEnabled;
   }
@@ -272,6 +315,7 @@
   bool CopyBehind = false;
   uint64_t ConfigEra = 0; ///< Era in which the store last showed it.
   DepartedTargets Departed;
+  TargetHistory History;
   Duration Heartbeat = millis(1200);
   /// End of the time in which entries may be those of the copy, and whether all
   /// targets are still to be read again then.
--- a/src/fleet_streams.cpp
+++ b/src/fleet_streams.cpp
@@ -105,6 +105,12 @@
     this->askStreams(
         this->Relay.takeStreamAsks(static_cast<uint32_t>(Asked.size())), Asked);
   }
+  for (auto &Item : this->Relay.takeHistoryAnswers()) {
+    StreamNews Answers;
+    Answers.Answers = std::move(Item.second);
+    Answers.LongestLife = this->Relay.longestStreamLife();
+    this->Link.post(Item.first, Answers);
+  }
   std::vector<StreamAsk> HistoryAsks = this->Relay.takeHistoryAsks();
   if (!HistoryAsks.empty()) {
     this->askStreams(HistoryAsks, historyHostsToAsk(this->streamPeers(Now),
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -29,9 +29,6 @@
 // Maximum age of the configuration up to which keys are trusted, as a share of
 // the revocation limit.
 static constexpr double MaxKeyAgeRatio = 0.62;
-// Intervals of heartbeats after which the store removes a silent target's
-// entry.
-static constexpr int HeartbeatsUntilRemoval = 3;
 // Time until the news of a removal reach this host.
 static constexpr Duration StoreNewsDelay = seconds(2);
 // Number of file descriptors reserved for uses other than callers' connections.
@@ -435,6 +432,14 @@
   void onConfirmed(uint64_t ConfigVersion) override {
     this->Exchange->onConfirmed(ConfigVersion);
   }
+  void onTargetSeen(const TargetEntry &Target) override {
+    this->Relay->recordTargetSeen(Target);
+  }
+  void onTargetsConfirmed(Time ReadAt) override {
+    this->Relay->onVersionsConfirmed(ReadAt);
+  }
+  void onTargetsUnconfirmed() override { this->Relay->onVersionsUnconfirmed(); }
+  void onTargetChangesMissed() override { this->Relay->onVersionsMissed(); }
   // Implementation of TunnelServerEvents.
   std::variant<Address, TunnelRefusal>
   onTunnelRequest(const TunnelRequest &Request) override {
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -26,8 +26,7 @@
 static constexpr int LongestDeadlineDecayDivisor = 100000;
 
 RequestRelay::RequestRelay(event_base *Base, const FrontendInit &Frontend,
-                           const RelayInit &Init,
-                           const FleetDirectory &StoreView)
+                           const RelayInit &Init, FleetDirectory &StoreView)
     : Base(Base), Init(Init), StoreView(StoreView), Budget(Init.Memory),
       Frontend(Base, Frontend, *this, Budget),
       TargetClient(Base, *this, &Budget), Quota(Init.Slack),
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -14,7 +14,7 @@
 #include "retry_budget_p.h"
 #include "run_doubts_p.h"
 #include "service_places_p.h"
-#include "stream_origins_p.h"
+#include "stream_search_p.h"
 #include "target_paths_p.h"
 #include "wire_client_p.h"
 
@@ -92,7 +92,7 @@
                      public ConnectProbeEvents {
 public:
   RequestRelay(event_base *Base, const FrontendInit &Frontend,
-               const RelayInit &Init, const FleetDirectory &StoreView);
+               const RelayInit &Init, FleetDirectory &StoreView);
   ~RequestRelay() override;
 
   void configure(std::shared_ptr<const RoutingConfig> Config);
@@ -169,8 +169,19 @@
   std::vector<StreamAsk> takeHistoryAsks();
   /// Takes what peers are to keep of the streams that began here.
   std::vector<StreamNote> takeStreamNotes();
-  /// Takes over what a peer told; returns the answers to what it asked.
+  /// Takes over what a peer told; returns the answers to what it asked, as far
+  /// as they need not wait.
   std::vector<StreamNote> receive(const StreamNews &News);
+  /// Takes the answers to peers that had to wait.
+  std::map<HostId, std::vector<StreamNote>> takeHistoryAnswers();
+  /// Records a target that was in the store, perhaps for a while only.
+  void recordTargetSeen(const TargetEntry &Target);
+  /// All targets that were in the store up to \p ReadAt have been recorded.
+  void onVersionsConfirmed(Time ReadAt);
+  /// The store could not be asked for the targets that it has had.
+  void onVersionsUnconfirmed();
+  /// Targets may have been in the store that were not recorded.
+  void onVersionsMissed();
   size_t knownStreams() const { return this->Origins.size(); }
   /// Returns the time for which streams that have begun may still go on.
   Duration longestStreamLife() const;
@@ -290,13 +301,12 @@
     explicit ServiceState(const RetryBudgetInit &Init) : Budget(Init) {}
   };
 
-  /// A request that waits for the version that began its stream.
-  struct OriginWaitState {
-    StreamId Stream;
-    Time Until;
-    uint32_t Unanswered = 0; ///< Peers that were asked and have not answered.
-    std::set<SoftwareId> Guesses; ///< Versions that peers guess.
-    bool VersionsDiffer = false;  ///< A peer has seen several versions.
+  /// A peer's question for the history of a service, which is answered once the
+  /// store has confirmed this host's view.
+  struct HistoryAsk {
+    HostId Peer;
+    StreamAsk Ask;
+    Time At;
   };
 
   /// How an attempt ended, as evidence for or against a version.
@@ -320,12 +330,15 @@
   /// Records the version that a stream began at or goes on at.
   void recordStream(RelayedRequest &R, Time Now);
   void placeOnceOriginIsKnown(RelayedRequest &R);
-  /// Places the request by what the hosts that do not know its stream guess.
-  void placeByGuess(RelayedRequest &R, const OriginWaitState &Told);
+  VersionView versionView(ServiceId Service) const;
+  /// Goes on with the search for the version of the request's stream: ends it,
+  /// or asks the store to confirm this host's view.
+  void continueSearch(PlacementId Id);
+  /// Places the request by what its search has found.
+  void concludeSearch(PlacementId Id, bool Confirmed);
   /// Places the request, or refuses it if the version is not known.
   void placeWithOrigin(RelayedRequest &R, std::optional<SoftwareId> Software,
                        const char *How);
-  void endOriginWait(PlacementId Id);
   RelayedRequest *find(PlacementId Id);
   RelayedRequest *findByCall(OutboundCallId Call);
   ServiceState &service(ServiceId Id);
@@ -418,7 +431,7 @@
 
   event_base *Base;
   RelayInit Init;
-  const FleetDirectory &StoreView;
+  FleetDirectory &StoreView;
   MemoryBudget Budget;
   FrontendServer Frontend;
   PooledHttpClient TargetClient;
@@ -432,7 +445,10 @@
   Time NextRunCheck;
   std::unique_ptr<FleetRollouts> Rollouts; ///< nullptr: turned off.
   StreamOrigins Origins;
-  std::unordered_map<PlacementId, OriginWaitState> OriginWaits;
+  /// Requests that wait for the versions that began their streams.
+  std::unordered_map<PlacementId, StreamSearch> Searches;
+  std::vector<HistoryAsk> HistoryAsks; ///< Questions that wait for the store.
+  std::map<HostId, std::vector<StreamNote>> HistoryAnswers; ///< To be sent.
   std::vector<StreamAsk> UnsentAsks; ///< Asks that peers have not got.
   Time NextServingRecord;
   /// Services of the routes of streams.
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -11,6 +11,8 @@
 
 // Time within which peers answer for the version that began a stream.
 static constexpr Duration OriginWait = millis(150);
+// Time within which the store confirms this host's view of the targets.
+static constexpr Duration ViewWait = seconds(1);
 // Interval at which the versions of all targets are recorded.
 static constexpr Duration ServingRecordInterval = seconds(1);
 // Margin beyond the longest time limit of a route, after which no caller goes
@@ -40,14 +42,12 @@
                                   softwareId(Item.second.Software), Now);
     }
   }
-  std::vector<PlacementId> Expired;
-  for (const auto &Item : this->OriginWaits) {
-    if (Now >= Item.second.Until) {
-      Expired.push_back(Item.first);
-    }
+  std::vector<PlacementId> Open;
+  for (const auto &Item : this->Searches) {
+    Open.push_back(Item.first);
   }
-  for (PlacementId Id : Expired) {
-    this->endOriginWait(Id);
+  for (PlacementId Id : Open) {
+    this->continueSearch(Id);
   }
 }
 
@@ -77,49 +77,145 @@
 }
 
 // Only a host that passed the stream on, or one that it told, knows its version
-// for certain. Peers are asked even where this host knows of one version only,
-// since its view of the targets may be a moment old.
+// for certain.
 void RequestRelay::placeOnceOriginIsKnown(RelayedRequest &R) {
-  if (R.Resumes.empty()) {
-    // The caller does not name its stream, so nobody can tell where it began.
-    this->placeWithOrigin(R, this->Origins.onlyVersionSeen(R.Service), "only");
-    return;
-  }
+  PlacementId Id = R.Id;
   StreamId Stream = streamOf(R);
-  std::optional<SoftwareId> Known = this->Origins.find(Stream);
+  Time Now = ProcessClock::now();
+  bool IsNamed = !R.Resumes.empty();
+  std::optional<SoftwareId> Known =
+      IsNamed ? this->Origins.find(Stream) : std::nullopt;
   if (Known) {
     this->placeWithOrigin(R, Known, "known");
     return;
   }
-  if (this->Hosts <= 1) {
-    this->placeByGuess(R, OriginWaitState());
+  // Where the caller does not name its stream, nobody can tell where it began.
+  bool AsksPeers = IsNamed && this->Hosts > 1;
+  Time AnswerUntil = AsksPeers ? Now + OriginWait : Now;
+  this->Searches.emplace(Id, StreamSearch(Stream, AnswerUntil));
+  if (AsksPeers) {
+    this->UnsentAsks.push_back({Stream, R.Service});
+  } else {
+    this->continueSearch(Id);
+  }
+}
+
+VersionView RequestRelay::versionView(ServiceId Service) const {
+  VersionView View;
+  View.Sole = this->Origins.soleVersion(Service, ProcessClock::now());
+  View.OnlySeen = this->Origins.onlyVersionSeen(Service);
+  View.Versions = this->Origins.versions(Service);
+  return View;
+}
+
+void RequestRelay::continueSearch(PlacementId Id) {
+  auto It = this->Searches.find(Id);
+  RelayedRequest *R = this->find(Id);
+  if (It == this->Searches.end() || R == nullptr) {
+    this->Searches.erase(Id);
     return;
   }
-  OriginWaitState &Wait = this->OriginWaits[R.Id];
-  Wait.Stream = Stream;
-  Wait.Until = ProcessClock::now() + OriginWait;
-  this->UnsentAsks.push_back({Stream, R.Service});
+  StreamSearch &Search = It->second;
+  std::optional<SoftwareId> Known = this->Origins.find(Search.stream());
+  if (Known && !R->Resumes.empty()) {
+    this->Searches.erase(It);
+    this->placeWithOrigin(*R, Known, "peer");
+    return;
+  }
+  Time Now = bootTime();
+  if (Search.awaitsView()) {
+    if (Search.viewOverdue(Now)) {
+      this->concludeSearch(Id, false);
+    }
+    return;
+  }
+  if (!Search.peersDone(ProcessClock::now())) {
+    return;
+  }
+  if (!this->StoreView.reachable() ||
+      Search.isUndecidable(this->versionView(R->Service))) {
+    this->concludeSearch(Id, false);
+    return;
+  }
+  Search.awaitView(Now, Now + ViewWait);
+  this->StoreView.confirmTargets(Now);
 }
 
-// A host's view of the targets may be behind, so that it misses a version. The
-// guesses count only if none of them, this host's own included, differs.
-void RequestRelay::placeByGuess(RelayedRequest &R,
-                                const OriginWaitState &Told) {
-  std::set<SoftwareId> Guesses = Told.Guesses;
-  std::optional<SoftwareId> Own;
-  if (this->StoreView.reachable()) {
-    Own = this->Origins.soleVersion(R.Service, ProcessClock::now());
+void RequestRelay::concludeSearch(PlacementId Id, bool Confirmed) {
+  auto It = this->Searches.find(Id);
+  StreamSearch Search = std::move(It->second);
+  this->Searches.erase(It);
+  RelayedRequest *R = this->find(Id);
+  if (R == nullptr) {
+    return;
   }
-  if (Own) {
-    Guesses.insert(*Own);
+  VersionView Own = this->versionView(R->Service);
+  // A caller that does not name its stream cannot be served otherwise while
+  // this host knows nothing of the time before its start.
+  if (R->Resumes.empty()) {
+    Own.Sole = Own.OnlySeen;
   }
-  bool Differ = Told.VersionsDiffer || Guesses.size() > 1 ||
-                this->Origins.versions(R.Service) > 1;
-  this->placeWithOrigin(R,
-                        Differ || Guesses.empty()
-                            ? std::nullopt
-                            : std::optional(*Guesses.begin()),
-                        Own ? "sole" : "guessed");
+  logEvent("stream-search",
+           {{"id", R->RequestId},
+            {"asked", Search.asked()},
+            {"answered", Search.answered()},
+            {"confirmed", Confirmed},
+            {"reachable", this->StoreView.reachable()},
+            {"targets-age-ms", toMillis(this->StoreView.age(
+                                   DirectoryKind::Targets, bootTime()))}});
+  this->placeWithOrigin(*R, Search.conclude(Own, Confirmed),
+                        Confirmed ? "confirmed" : "agreed");
+}
+
+void RequestRelay::onVersionsConfirmed(Time ReadAt) {
+  std::vector<PlacementId> Covered;
+  for (const auto &Item : this->Searches) {
+    if (Item.second.isCoveredBy(ReadAt)) {
+      Covered.push_back(Item.first);
+    }
+  }
+  for (PlacementId Id : Covered) {
+    this->concludeSearch(Id, true);
+  }
+  std::vector<HistoryAsk> Waiting;
+  for (const HistoryAsk &H : this->HistoryAsks) {
+    if (H.At <= ReadAt) {
+      this->HistoryAnswers[H.Peer].push_back(
+          this->Origins.answer(H.Ask, true, ProcessClock::now()));
+    } else {
+      Waiting.push_back(H);
+    }
+  }
+  this->HistoryAsks.swap(Waiting);
+}
+
+// Peers that asked for histories ask others.
+void RequestRelay::onVersionsUnconfirmed() {
+  this->HistoryAsks.clear();
+  std::vector<PlacementId> Waiting;
+  for (const auto &Item : this->Searches) {
+    if (Item.second.awaitsView()) {
+      Waiting.push_back(Item.first);
+    }
+  }
+  for (PlacementId Id : Waiting) {
+    this->concludeSearch(Id, false);
+  }
+}
+
+void RequestRelay::onVersionsMissed() {
+  this->Origins.recordGap(ProcessClock::now());
+}
+
+void RequestRelay::recordTargetSeen(const TargetEntry &Target) {
+  this->Origins.recordServing(Target.Service, softwareId(Target.Software),
+                              ProcessClock::now());
+}
+
+std::map<HostId, std::vector<StreamNote>> RequestRelay::takeHistoryAnswers() {
+  std::map<HostId, std::vector<StreamNote>> Answers;
+  Answers.swap(this->HistoryAnswers);
+  return Answers;
 }
 
 void RequestRelay::placeWithOrigin(RelayedRequest &R,
@@ -141,33 +237,13 @@
   this->place(R);
 }
 
-void RequestRelay::endOriginWait(PlacementId Id) {
-  auto Wait = this->OriginWaits.find(Id);
-  if (Wait == this->OriginWaits.end()) {
-    return;
-  }
-  OriginWaitState Told = std::move(Wait->second);
-  StreamId Stream = Told.Stream;
-  this->OriginWaits.erase(Wait);
-  RelayedRequest *R = this->find(Id);
-  if (R == nullptr) {
-    return;
-  }
-  std::optional<SoftwareId> Known = this->Origins.find(Stream);
-  if (Known) {
-    this->placeWithOrigin(*R, Known, "peer");
-  } else {
-    this->placeByGuess(*R, Told);
-  }
-}
-
 std::vector<StreamAsk> RequestRelay::takeStreamAsks(uint32_t HostsToAsk) {
   std::vector<StreamAsk> Asks;
   Asks.swap(this->UnsentAsks);
-  for (auto &Item : this->OriginWaits) {
+  for (auto &Item : this->Searches) {
     for (const StreamAsk &Ask : Asks) {
-      if (Ask.Stream == Item.second.Stream) {
-        Item.second.Unanswered = HostsToAsk;
+      if (Ask.Stream == Item.second.stream()) {
+        Item.second.recordAsked(HostsToAsk);
       }
     }
   }
@@ -203,34 +279,34 @@
   }
   std::vector<PlacementId> Answered;
   for (const StreamNote &Answer : News.Answers) {
-    for (auto &Item : this->OriginWaits) {
-      OriginWaitState &Wait = Item.second;
-      if (Wait.Stream == Answer.Stream) {
-        Wait.Unanswered -= Wait.Unanswered > 0 ? 1 : 0;
+    for (auto &Item : this->Searches) {
+      if (Item.second.stream() == Answer.Stream) {
+        Item.second.recordGuess(News.Host, Answer);
         const RelayedRequest *R = this->find(Item.first);
         logEvent("stream-answer", {{"id", R == nullptr ? "" : R->RequestId},
                                    {"peer", toHex(News.Host.Value)},
                                    {"guess", Answer.IsGuess},
                                    {"software", Answer.Software.Value}});
-        if (Answer.IsGuess && Answer.Software.isValid()) {
-          Wait.Guesses.insert(Answer.Software);
-        } else if (Answer.IsGuess) {
-          Wait.VersionsDiffer = true;
-        }
-        bool Known = Answer.Software.isValid() && !Answer.IsGuess;
-        if (Known || Wait.Unanswered == 0) {
-          Answered.push_back(Item.first);
-        }
+        Answered.push_back(Item.first);
       }
     }
   }
   for (PlacementId Id : Answered) {
-    this->endOriginWait(Id);
+    this->continueSearch(Id);
   }
   std::vector<StreamNote> Answers;
   for (const StreamAsk &Ask : News.Asks) {
-    Answers.push_back(
-        this->Origins.answer(Ask, this->StoreView.reachable(), Now));
+    bool Vouches = Ask.Stream == historyId(Ask.Service) &&
+                   this->Origins.soleVersion(Ask.Service, Now);
+    if (Vouches && this->StoreView.reachable()) {
+      this->HistoryAsks.push_back({News.Host, Ask, bootTime()});
+    } else if (!Vouches) {
+      Answers.push_back(
+          this->Origins.answer(Ask, this->StoreView.reachable(), Now));
+    }
+  }
+  if (!this->HistoryAsks.empty()) {
+    this->StoreView.confirmTargets(bootTime());
   }
   return Answers;
 }
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -146,6 +146,15 @@
   return Asks;
 }
 
+void StreamOrigins::recordGap(Time Now) {
+  this->UnseenLifeEnd = this->lifeEnd(Now);
+  for (auto &Item : this->Histories) {
+    Item.second.Vouched = false;
+  }
+  this->NextHistoryAsk = Now;
+  this->HistoryAskInterval = Duration(0);
+}
+
 std::optional<SoftwareId> StreamOrigins::find(StreamId Stream) const {
   auto It = this->Known.find(Stream);
   return It == this->Known.end() ? std::nullopt
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -89,6 +89,8 @@
   /// while no question is due.
   std::vector<StreamAsk> takeHistoryAsks(const std::set<ServiceId> &Services,
                                          Time Now);
+  /// Records that targets may have served up to \p Now that were not recorded.
+  void recordGap(Time Now);
   std::optional<SoftwareId> find(StreamId Stream) const;
   /// Returns the version at which every stream of \p Service must have begun
   /// that can still go on, or nothing if it may be one of several.
@@ -130,7 +132,8 @@
   /// Time after which no stream goes on that began under an earlier
   /// configuration, here or at a peer.
   Time EarlierLifeEnd;
-  /// Time after which no stream goes on that began before this process started.
+  /// Time after which no stream goes on that began before this process started,
+  /// or before the last gap in what it has seen.
   Time UnseenLifeEnd = Time::max();
   std::unordered_map<StreamId, Entry> Known;
   std::map<ServiceId, ServiceHistory> Histories;
--- a/tests/directory_harness.h
+++ b/tests/directory_harness.h
@@ -86,6 +86,18 @@
   void onConfirmed(uint64_t ConfigVersion) override {
     this->ConfirmedVersion = ConfigVersion;
   }
+  std::set<std::string> SoftwareSeen; ///< Of all onTargetSeen calls.
+  void onTargetSeen(const TargetEntry &T) override {
+    this->SoftwareSeen.insert(T.Software);
+  }
+  Time TargetsConfirmedAt;
+  void onTargetsConfirmed(Time ReadAt) override {
+    this->TargetsConfirmedAt = ReadAt;
+  }
+  int TargetsUnconfirmed = 0;
+  void onTargetsUnconfirmed() override { ++this->TargetsUnconfirmed; }
+  int ChangesMissed = 0;
+  void onTargetChangesMissed() override { ++this->ChangesMissed; }
   int ConfirmsStarted = 0;
   uint64_t ConfirmedVersion = 0;
 };
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -166,6 +166,16 @@
   Done(std::move(R));
 }
 
+void FixedStore::watch(DirectoryKind, uint64_t Revision, Duration Wait,
+                       ReadConsistency, Reply Done) {
+  if (Wait.count() == 0 && this->Answers) {
+    DirectoryReply R;
+    R.Result = DirectoryReply::Status::Ok;
+    R.StoreRevision = Revision;
+    Done(std::move(R));
+  }
+}
+
 static Route makeRoute(const char *Name, RouteKind Kind, uint32_t Attempts,
                        bool Resumable) {
   Route R;
@@ -234,6 +244,7 @@
   Front.ListenAddress = Address{"127.0.0.1", 0};
   this->Relay =
       std::make_unique<RequestRelay>(this->Base, Front, Init, *this->Directory);
+  this->Ignored.Relay = this->Relay.get();
   this->Relay->configure(C);
 }
 
@@ -244,6 +255,7 @@
     }
   }
   this->Targets.clear();
+  this->Ignored.Relay = nullptr;
   this->Relay.reset();
   event_base_loop(this->Base, EVLOOP_NONBLOCK);
   event_base_free(this->Base);
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -59,20 +59,21 @@
   std::vector<std::unique_ptr<TargetConnection>> TargetConnections;
 };
 
-/// A store that lists one configuration and never replies to a watch.
+/// A store that lists one configuration, in which nothing changes.
 class FixedStore : public DirectoryStore {
 public:
   std::shared_ptr<const RoutingConfig> Config;
+  bool Answers = true; ///< Whether it answers questions for changes.
   void list(DirectoryKind Kind, const std::string &After, ReadConsistency Mode,
             Reply Done) override;
-  void watch(DirectoryKind, uint64_t, Duration, ReadConsistency,
-             Reply) override {}
+  void watch(DirectoryKind Kind, uint64_t Revision, Duration Wait,
+             ReadConsistency Mode, Reply Done) override;
   void registerHost(const FleetHost &, Reply) override {}
   void removeHost(const std::string &, Reply) override {}
   void writeRolloutStatus(const RolloutStatusWrite &, Reply) override {}
 };
 
-/// A receiver that ignores all directory events.
+/// A receiver that ignores all directory events but one.
 class IgnoringDirectoryEvents : public DirectoryEvents {
 public:
   void onConfig(std::shared_ptr<const RoutingConfig>) override {}
@@ -85,6 +86,15 @@
   void onStoreReachable(bool) override {}
   void onConfirmStarted() override {}
   void onConfirmed(uint64_t) override {}
+  void onTargetSeen(const TargetEntry &) override {}
+  void onTargetsConfirmed(Time ReadAt) override {
+    if (this->Relay != nullptr) {
+      this->Relay->onVersionsConfirmed(ReadAt);
+    }
+  }
+  void onTargetsUnconfirmed() override {}
+  void onTargetChangesMissed() override {}
+  RequestRelay *Relay = nullptr; ///< Is told that its view is confirmed.
 };
 
 /// A relay with one service, one customer and a route of each kind, and the
--- a/tests/returning_fleet.cpp
+++ b/tests/returning_fleet.cpp
@@ -112,6 +112,10 @@
     this->ConfirmedVersion = ConfigVersion;
     this->Echoes = this->PendingEchoes;
   }
+  void onTargetSeen(const TargetEntry &) override {}
+  void onTargetsConfirmed(Time) override {}
+  void onTargetsUnconfirmed() override {}
+  void onTargetChangesMissed() override {}
 
   ReturningFleet &Fleet;
   size_t Number;
--- a/tests/test_host_out_of_step.cpp
+++ b/tests/test_host_out_of_step.cpp
@@ -126,3 +126,23 @@
   takeUpAll();
   checkNoneAtOldVersion("store away");
 }
+
+// Guards against refusing what the store or most of the peers vouch for.
+TEST(HostOutOfStep, streamsOfADeadHostGoOnWhileOneVersionServes) {
+  Begun = World->beginStreams(Beginner, StreamCount, "v1");
+  World->killHost(Beginner);
+  takeUpAll();
+  CHECK_EQUAL_TEXT(StreamCount, World->countGoneOn(TakenUp, "v1"),
+                   World->originsAt(Stale).c_str());
+}
+
+TEST(HostOutOfStep, streamsOfADeadHostGoOnWhileTheStoreIsAway) {
+  Begun = World->beginStreams(Beginner, StreamCount, "v1");
+  for (uint32_t Host : AllHosts) {
+    World->storeFaults(Host).Unavailable = true;
+  }
+  World->killHost(Beginner);
+  takeUpAll();
+  CHECK_EQUAL_TEXT(StreamCount, World->countGoneOn(TakenUp, "v1"),
+                   World->originsAt(Stale).c_str());
+}
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -184,3 +184,24 @@
   }
   CHECK_EQUAL(0, Old.Requests.size());
 }
+
+// A host that was stopped or cut off vouches for what it saw before.
+TEST(StreamVersions, aHostVouchesForAVersionOnceTheStoreConfirmsIt) {
+  H->target("i-1", "v1");
+  ServiceId Service = serviceId("app");
+  StreamNews Told;
+  Told.Answers = {{historyId(Service), softwareId("v1")}};
+  H->relay().receive(Told);
+  StreamNews Asked;
+  Asked.Host = HostId{7};
+  Asked.Asks = {{historyId(Service), Service}};
+  H->Store.Answers = false;
+  CHECK(H->relay().receive(Asked).empty());
+  CHECK(H->relay().takeHistoryAnswers().empty());
+  H->Store.Answers = true;
+  H->relay().onVersionsConfirmed(bootTime());
+  std::map<HostId, std::vector<StreamNote>> Answers =
+      H->relay().takeHistoryAnswers();
+  CHECK_EQUAL(1, Answers.count(Asked.Host));
+  CHECK(Answers[Asked.Host].at(0).Software == softwareId("v1"));
+}
