Streams of a run in doubt are told to other hosts

A stream that a target began whose run was in doubt goes on nowhere at the host that knows it, but no other host was told: one that had seen a single version went on with it there, although the run may have been replaced by one of another version whose entry was not written yet.

aStreamOfARunInDoubtIsToldToOtherHosts failed before: the keeper answered with a guess.

--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -86,6 +86,7 @@
     Entry &E = this->Known[Stream];
     E.Software = UndecidedSoftware;
     extend(E.Until, std::max(Until, this->lifeEnd(Now)));
+    this->Unsent.push_back(Stream);
   }
 }
 
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -167,3 +167,21 @@
   StreamCounts C = Fleet.run(seconds(10), false);
   CHECK(C.BytesPerHostAndSecond <= 4096);
 }
+
+// Guards against a stream of a run in doubt that goes on where another host
+// knows of one version only.
+TEST(StreamLives, aStreamOfARunInDoubtIsToldToOtherHosts) {
+  Time Start{seconds(1000)};
+  Time Now = Start + seconds(30);
+  StreamOrigins Origins(Start);
+  StreamOrigins Keeper(Start);
+  for (StreamOrigins *O : {&Origins, &Keeper}) {
+    O->setStreamLife(seconds(8), Start);
+    O->recordServing(Engines, softwareId("v1"), Now);
+  }
+  Origins.recordUndecided(streamId("r"), Now + seconds(8), Now);
+  Keeper.merge(Origins.takeNotes(MaxStreamNotes, Now), Now);
+  StreamNote Answer = Keeper.answer({streamId("r"), Engines}, true, Now);
+  CHECK_FALSE(Answer.IsGuess);
+  CHECK(Answer.Software == UndecidedSoftware);
+}
