Target client: an answer without length does not end before its request is sent

Callers got part of an answer as a whole one: a server answered a long upload at once with a 200 that had neither length nor chunks, sent a part and reset the connection while the upload was still written. The end in order reaches the host before the reset, and which of them was read first decided.

An answer that ends with its connection now counts as whole only if the server has confirmed all bytes of the request and the connection has no error. A peer that passes the call on checks the same for its connection to the server and says otherwise that the answer broke.

Answers with a length may still come early.

--- a/src/paths/tunnel_server.cpp
+++ b/src/paths/tunnel_server.cpp
@@ -207,8 +207,14 @@
       return;
     }
     this->readTarget();
-    std::string End =
-        tunnelEnd(InOrder ? TunnelEnd::Closed : TunnelEnd::Broken);
+    // A target that has not taken the whole request may end its answer
+    // anywhere.
+    bool RequestReceived =
+        evbuffer_get_length(bufferevent_get_input(this->Peer)) == 0 &&
+        evbuffer_get_length(bufferevent_get_output(this->Target)) == 0 &&
+        isAllReceived(bufferevent_getfd(this->Target));
+    std::string End = tunnelEnd(InOrder && RequestReceived ? TunnelEnd::Closed
+                                                           : TunnelEnd::Broken);
     bufferevent_write(this->Peer, End.data(), End.size());
     bufferevent_enable(this->Peer, EV_READ);
     bufferevent_disable(this->Target, EV_READ | EV_WRITE);
--- a/src/tcp_options.cpp
+++ b/src/tcp_options.cpp
@@ -1,8 +1,10 @@
 #include "tcp_options_p.h"
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace shallotlatch {
@@ -29,6 +31,16 @@
              sizeof(TcpUserTimeoutMs));
 }
 
+bool isAllReceived(int Fd) {
+  int Unconfirmed = 0;
+  int Error = 0;
+  socklen_t Length = sizeof(Error);
+  bool Pending = ioctl(Fd, SIOCOUTQ, &Unconfirmed) == 0 && Unconfirmed > 0;
+  bool Failed =
+      getsockopt(Fd, SOL_SOCKET, SO_ERROR, &Error, &Length) == 0 && Error != 0;
+  return !Pending && !Failed;
+}
+
 bool isUnanswered(int Error) {
   return Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
 }
--- a/src/wire_connection_p.h
+++ b/src/wire_connection_p.h
@@ -255,9 +255,15 @@
   }
 
   // The server closed the connection in order. That ends some answers; for any
-  // other the call ends with \p Unfinished.
+  // other the call ends with \p Unfinished. A server that leaves part of the
+  // request unread resets the connection after the close, and the reset may
+  // come later than this event.
   void endOfAnswer(OutboundCallEnd Unfinished) {
-    bool MayEnd = !this->SkippingResponse && this->Reader.headDone();
+    bool RequestReceived =
+        evbuffer_get_length(bufferevent_get_output(this->Socket)) == 0 &&
+        isAllReceived(bufferevent_getfd(this->Socket));
+    bool MayEnd =
+        !this->SkippingResponse && this->Reader.headDone() && RequestReceived;
     OutboundCallId Current = this->Call;
     this->Feeding = true;
     FeedResult Result = MayEnd ? this->Reader.end() : FeedResult::Malformed;
--- a/tests/relay_harness.cpp
+++ b/tests/relay_harness.cpp
@@ -62,6 +62,10 @@
     }
     // What the socket does not take yet follows as it becomes writable.
     bufferevent_write(this->Socket, Bytes.data() + Sent, Bytes.size() - Sent);
+    if (Step.AfterSend == TargetStep::Action::HalfClose) {
+      bufferevent_disable(this->Socket, EV_READ);
+      shutdown(bufferevent_getfd(this->Socket), SHUT_WR);
+    }
     if (Step.AfterSend == TargetStep::Action::Close ||
         Step.AfterSend == TargetStep::Action::Reset) {
       this->closeSocket(Step.AfterSend == TargetStep::Action::Reset);
--- a/tests/relay_harness.h
+++ b/tests/relay_harness.h
@@ -24,8 +24,9 @@
 /// The response of a scripted target to the next request that it reads.
 struct TargetStep {
   /// What the target does with the connection after it sent the bytes. Keep and
-  /// Hold leave it open; Hold marks a response that is not complete.
-  enum class Action : uint8_t { Keep, Close, Reset, Hold };
+  /// Hold leave it open; Hold marks a response that is not complete. HalfClose
+  /// sends nothing more and leaves the rest of the request unread.
+  enum class Action : uint8_t { Keep, Close, Reset, Hold, HalfClose };
   std::string Bytes; ///< Bytes to send; each `@ID@` becomes the request's id.
   Action AfterSend = Action::Keep;
   bool EarlyAnswer = false; ///< The target answers before it reads the body.
