HTTP: a status outside of 100 to 599 is no answer

Callers got statuses 600 and 999 of a server in trouble as answers; 000 and 099 counted as interim heads, so that whatever followed on the connection was taken for the answer, and so did a 101 that nobody had asked for. Such heads are now malformed and end as 502. shallotlatchd took 600 and above for whole answers and now for broken ones.

aStatusThatHttpDoesNotHaveIsNoAnswer, aStatusWithoutABodyIsNoAnswerEither and theDaemonTakesNoStatusThatHttpDoesNotHave failed before.

--- a/src/directory_history.cpp
+++ b/src/directory_history.cpp
@@ -13,9 +13,9 @@
 static constexpr Duration MaxHistoryFillDelay = seconds(5);
 
 Duration FleetDirectory::historyFillDelay() const {
-  return Duration(static_cast<int64_t>(
-      hashPair(this->Seed, this->History.Revision) %
-      static_cast<uint64_t>(MaxHistoryFillDelay.count())));
+  return Duration(
+      static_cast<int64_t>(hashPair(this->Seed, this->History.Revision) %
+                           static_cast<uint64_t>(MaxHistoryFillDelay.count())));
 }
 
 void FleetDirectory::confirmTargets(Time CurrentTime) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client_p.h"
 
+#include "http_message_p.h"
 #include "sockets_p.h"
 
 #include <event2/buffer.h>
@@ -168,7 +169,7 @@
       // prove that the response is complete. An interim response never is.
       const auto &Headers = C->Result.Headers;
       C->Result.Complete =
-          C->Result.Status >= 200 &&
+          isFinalStatus(C->Result.Status) &&
           (Headers.count("content-length") != 0 || Response->chunked != 0);
     }
     auto Close = C->Result.Headers.find("connection");
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -6,6 +6,8 @@
 
 namespace shallotlatch {
 
+static constexpr int SwitchingProtocols = 101;
+
 // Limit on the fields of a response. Each takes far more memory than its
 // shortest form has bytes.
 static constexpr size_t MaxResponseFields = 1000;
@@ -173,11 +175,15 @@
   this->LastCallbackWasValue = false;
 }
 
+bool isFinalStatus(int Status) { return Status >= 200 && Status <= 599; }
+
 // http-parser accepts some heads from which other programs derive a different
 // body length: a space in a field name, a repeated length, or a length together
 // with a transfer encoding. The reader refuses these heads, because two
 // programs that disagree on the length of a body allow request smuggling. A
-// request must also have exactly one Host field.
+// request must also have exactly one Host field. A response must have a status
+// of HTTP (RFC 9110, 15); it cannot switch protocols, as no request asks for
+// it.
 bool HttpReader::isHeadValid() const {
   uint32_t Lengths = 0;
   uint32_t Encodings = 0;
@@ -198,7 +204,12 @@
   if (Lengths + Encodings > 1) {
     return false;
   }
-  return this->Role == HttpRole::Responses || Hosts == 1;
+  if (this->Role == HttpRole::Requests) {
+    return Hosts == 1;
+  }
+  return isFinalStatus(this->Head.Status) ||
+         (this->Head.Status >= 100 && this->Head.Status < 200 &&
+          this->Head.Status != SwitchingProtocols);
 }
 
 FeedResult HttpReader::feed(std::string_view Bytes, size_t &Consumed) {
--- a/src/http_message_p.h
+++ b/src/http_message_p.h
@@ -24,6 +24,9 @@
 /// ignored, as HTTP compares field names.
 bool equalsIgnoringCase(std::string_view A, std::string_view B);
 
+/// Returns whether HTTP has final responses of \p Status (RFC 9110, 15).
+bool isFinalStatus(int Status);
+
 /// Start line and header fields of one HTTP message.
 struct HttpHead {
   std::string Method; ///< Request method; empty in a response.
@@ -71,7 +74,8 @@
   Complete,  ///< The message ended; bytes after it were not consumed.
   Refused,   ///< HttpReaderEvents::onHead refused the message.
   TooLong,   ///< The start line and header fields are too long.
-  Malformed, ///< The bytes are not a valid message, or ask for an upgrade.
+  Malformed, ///< The bytes are not a valid message, switch to another protocol,
+             ///< or have a status outside of 100 to 599.
 };
 
 /// Parses a byte stream, one HTTP message at a time.
--- a/tests/test_odd_answers.cpp
+++ b/tests/test_odd_answers.cpp
@@ -1,6 +1,9 @@
-// Tests of answers that end before their requests were sent whole.
+// Tests of answers that end before their requests were sent whole, and of status
+// codes that HTTP does not have.
 #include "tunnel_peers.h"
 
+#include "http_client_p.h"
+
 using namespace shallotlatch;
 using Action = TargetStep::Action;
 
@@ -72,3 +75,52 @@
   CHECK_EQUAL(2, T.Requests.size());
   H.reset();
 }
+
+TEST(OddAnswers, aStatusThatHttpDoesNotHaveIsNoAnswer) {
+  ScriptedTarget &T = H->target("i-1");
+  const std::string Rest = "\r\nX-Id: @ID@\r\nX-Stamp: s\r\n"
+                           "Content-Length: 4\r\n\r\nodd!";
+  int Number = 0;
+  for (const char *Status :
+       {"000 No", "099 No", "101 Switching Protocols", "600 No", "999 No"}) {
+    for (const std::string &Behind : {std::string(), validAnswer("second")}) {
+      T.Steps = {{std::string("HTTP/1.1 ") + Status + Rest + Behind,
+                  Action::Close}};
+      std::string Answer =
+          H->sendRequest("/once/x", "r" + std::to_string(++Number), "\r\n\r\n");
+      CHECK_TEXT(contains(Answer, "HTTP/1.1 502 "), Answer.c_str());
+      CHECK_TEXT(!contains(Answer, "odd!") && !contains(Answer, "second"),
+                 Answer.c_str());
+    }
+  }
+}
+
+TEST(OddAnswers, aStatusWithoutABodyIsNoAnswerEither) {
+  ScriptedTarget &T = H->target("i-1");
+  T.Steps = {{"HTTP/1.1 000 No\r\n\r\n" + validAnswer("second")}};
+  std::string Answer = H->sendRequest("/once/x", "r1", "\r\n\r\n");
+  CHECK_TEXT(contains(Answer, "HTTP/1.1 502 "), Answer.c_str());
+}
+
+TEST(OddAnswers, theDaemonTakesNoStatusThatHttpDoesNotHave) {
+  ScriptedTarget &T = H->target("i-1");
+  for (const char *Status : {"099", "600", "999"}) {
+    T.Steps = {{std::string("HTTP/1.1 ") + Status +
+                    " No\r\nContent-Length: 2\r\n\r\nno",
+                Action::Close}};
+    HttpClient Client(H->Base);
+    HttpRequest Request;
+    Request.To = T.entry().At;
+    Request.Path = "/";
+    HttpResult Result;
+    bool Ended = false;
+    HttpEvents Events;
+    Events.Done = [&](const HttpResult &R) {
+      Result = R;
+      Ended = true;
+    };
+    Client.start(std::move(Request), std::move(Events));
+    CHECK(H->runUntil([&] { return Ended; }));
+    CHECK_FALSE(Result.Complete);
+  }
+}
--- a/tests/test_stream_search.cpp
+++ b/tests/test_stream_search.cpp
@@ -10,7 +10,9 @@
 static const SoftwareId V2 = softwareId("v2");
 static const Time Start{seconds(100)};
 
-static StreamNote guess(SoftwareId Software) { return {Stream, Software, true}; }
+static StreamNote guess(SoftwareId Software) {
+  return {Stream, Software, true};
+}
 
 TEST_GROUP(StreamSearches) {
   StreamSearch Search{Stream, Start + millis(150)};
@@ -61,53 +63,54 @@
   CHECK(Search.isCoveredBy(Start));
 }
 
-TEST_GROUP_BASE(TargetHistories, DirectoryHarness) {
-  static DirectoryObject target(const std::string &Software, uint64_t Revision,
-                                bool Deleted = false) {
-    DirectoryObject O = targetObject("t9", Revision);
-    O.Target->Software = Software;
-    O.Deleted = Deleted;
-    return O;
-  }
-  /// Lets time pass while the store confirms the configuration.
-  void pass(int64_t Ms) {
-    for (int64_t Passed = 0; Passed < Ms; Passed += 20) {
-      advance(20);
-      for (size_t I = 0; I < Store.Calls.size(); ++I) {
-        ScriptedStore::Call &C = Store.Calls[I];
-        if (C.Kind == DirectoryKind::Config && C.Operation == 'w' &&
-            C.Wait.count() == 0) {
-          ScriptedStore::Call Confirmation = std::move(C);
-          Store.Calls.erase(Store.Calls.begin() + static_cast<long>(I));
-          DirectoryReply R;
-          R.Result = DirectoryReply::Status::Ok;
-          R.StoreRevision = 12;
-          Confirmation.Done(std::move(R));
-          break;
-        }
+TEST_GROUP_BASE(TargetHistories, DirectoryHarness){
+    static DirectoryObject target(const std::string &Software,
+                                  uint64_t Revision, bool Deleted = false){
+        DirectoryObject O = targetObject("t9", Revision);
+O.Target->Software = Software;
+O.Deleted = Deleted;
+return O;
+}
+/// Lets time pass while the store confirms the configuration.
+void pass(int64_t Ms) {
+  for (int64_t Passed = 0; Passed < Ms; Passed += 20) {
+    advance(20);
+    for (size_t I = 0; I < Store.Calls.size(); ++I) {
+      ScriptedStore::Call &C = Store.Calls[I];
+      if (C.Kind == DirectoryKind::Config && C.Operation == 'w' &&
+          C.Wait.count() == 0) {
+        ScriptedStore::Call Confirmation = std::move(C);
+        Store.Calls.erase(Store.Calls.begin() + static_cast<long>(I));
+        DirectoryReply R;
+        R.Result = DirectoryReply::Status::Ok;
+        R.StoreRevision = 12;
+        Confirmation.Done(std::move(R));
+        break;
       }
     }
   }
-  /// Replies to the directory's question for the changes up to now.
-  void replyToHistory(DirectoryReply::Status Result,
-                      std::vector<DirectoryObject> Changes, uint64_t At) {
-    for (auto It = Store.Calls.begin(); It != Store.Calls.end(); ++It) {
-      if (It->Kind == DirectoryKind::Targets && It->Operation == 'w' &&
-          It->Wait.count() == 0) {
-        ScriptedStore::Call Found = std::move(*It);
-        Store.Calls.erase(It);
-        CHECK(Found.Mode == ReadConsistency::Linearizable);
-        DirectoryReply R;
-        R.Result = Result;
-        R.Objects = std::move(Changes);
-        R.StoreRevision = At;
-        Found.Done(std::move(R));
-        return;
-      }
+}
+/// Replies to the directory's question for the changes up to now.
+void replyToHistory(DirectoryReply::Status Result,
+                    std::vector<DirectoryObject> Changes, uint64_t At) {
+  for (auto It = Store.Calls.begin(); It != Store.Calls.end(); ++It) {
+    if (It->Kind == DirectoryKind::Targets && It->Operation == 'w' &&
+        It->Wait.count() == 0) {
+      ScriptedStore::Call Found = std::move(*It);
+      Store.Calls.erase(It);
+      CHECK(Found.Mode == ReadConsistency::Linearizable);
+      DirectoryReply R;
+      R.Result = Result;
+      R.Objects = std::move(Changes);
+      R.StoreRevision = At;
+      Found.Done(std::move(R));
+      return;
     }
-    FAIL("the store was not asked");
   }
-};
+  FAIL("the store was not asked");
+}
+}
+;
 
 TEST(TargetHistories, aVersionThatCameAndWentIsReported) {
   replyToInitialLists();
