Soak: software versions, and callers that take up their streams

Targets of changing versions serve side by side, streams last some 0.7 s so that faults break them, and callers go on with a broken stream, mostly at another host, naming the request that brought its first event. The judge reports streams with events of two versions, in one answer or over requests.

Test worlds may run single hosts with another build.

--- a/tests/test_soak_judge.cpp
+++ b/tests/test_soak_judge.cpp
@@ -258,3 +258,36 @@
   }
   STRCMP_EQUAL("budget", brokenPromiseNames().c_str());
 }
+
+// Over a caller's requests, and within one answer.
+TEST(SoakJudge, eventsOfTwoVersionsInAStreamAreReported) {
+  for (const char *Name : {"v1", "v2"}) {
+    Judge.recordSoftware(std::string("of ") + Name, Name);
+  }
+  SentRequest First = request("a");
+  First.Kind = RouteKind::Stream;
+  SentRequest Next = First;
+  Next.Id = "a-1";
+  Next.Resumes = "a";
+  Next.FirstEvent = 3;
+  ReceivedAnswer Part = answer("a.1;a.2;");
+  Part.Complete = false;
+  Part.Instance = "of v1";
+  ReceivedAnswer Rest = answer(answerBody("a-1", RouteKind::Stream, 3));
+  Rest.Instance = "of v1";
+  Judge.recordRequest(First);
+  Judge.recordArrival(arrival("a", Now));
+  Judge.recordAnswer("a", Part);
+  Judge.recordRequest(Next);
+  Judge.recordArrival(arrival("a-1", Now));
+  Judge.recordAnswer("a-1", Rest);
+  STRCMP_EQUAL("", brokenPromiseNames().c_str());
+  Arrival Inner = arrival("a-1", Now);
+  Inner.Instance = "of v2";
+  Inner.FirstEvent = 5;
+  Judge.recordArrival(Inner);
+  STRCMP_EQUAL("order", brokenPromiseNames().c_str());
+  Rest.Instance = "of v2";
+  Judge.recordAnswer("a-1", Rest);
+  STRCMP_EQUAL("order", brokenPromiseNames().c_str());
+}
--- a/tests/version_world.cpp
+++ b/tests/version_world.cpp
@@ -155,7 +155,8 @@
   }
 }
 
-// The environment may name the program of another build.
+// The environment may name the program of another build, for one host (such as
+// GATEWAY_PROGRAM_0) or for all.
 void VersionWorld::startHost(uint32_t Host) {
   HostParts &H = this->Hosts[Host];
   nlohmann::json Settings{{"host", hostName(Host)},
@@ -168,7 +169,10 @@
                           {"metricsPort", 0},
                           {"memoryMb", 260},
                           {"descriptors", 1024}};
-  const char *Program = getenv("GATEWAY_PROGRAM");
+  const char *OfAll = getenv("GATEWAY_PROGRAM");
+  const char *Own =
+      getenv(("GATEWAY_PROGRAM_" + std::to_string(Host)).c_str());
+  const char *Program = Own != nullptr ? Own : OfAll;
   H.Process.start(Program == nullptr ? GATEWAY_PROGRAM : Program, this->Folder,
                   Settings);
 }
--- a/tools/soak/shallot_soak.cpp
+++ b/tools/soak/shallot_soak.cpp
@@ -317,6 +317,8 @@
   }
   std::cout << "requests " << this->Environment.judge().requestCount()
             << ", completed " << this->Environment.judge().completedCount()
+            << ", resumed " << this->Environment.judge().resumedCounts().first
+            << ", gone on " << this->Environment.judge().resumedCounts().second
             << ", at the end " << ServedRequests << " of " << SentRequests
             << ", broken " << Found.size() << "\n";
   return Found.size();
--- a/tools/soak/soak_caller.cpp
+++ b/tools/soak/soak_caller.cpp
@@ -5,11 +5,16 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include <algorithm>
+
 namespace shallotlatch::soak {
 
 static constexpr uint32_t MaxHeadBytes = 64 * 1024;
 // Time after the deadline of a request at which its caller gives up.
 static constexpr Duration GiveUpDelay = millis(300);
+// How often a caller goes on with a stream, and how soon after its end.
+static constexpr uint32_t MaxResumptions = 3;
+static constexpr Duration ResumptionPause = millis(30);
 
 SoakCaller::SoakCaller(event_base *Base, const RelayHeaders &Headers,
                        SoakJudge &Judge,
@@ -46,6 +51,7 @@
 
 void SoakCaller::scheduleNext() {
   this->CurrentPlan = this->PlanRequest();
+  this->Resumptions = 0;
   timeval After = toTimeval(this->CurrentPlan.Pause);
   event_add(this->Timer, &After);
 }
@@ -96,13 +102,18 @@
   this->Busy = true;
   this->Answer = ReceivedAnswer();
   this->Reader.reset();
-  std::string Text = "POST " + this->CurrentPlan.Path +
-                     " HTTP/1.1\r\nHost: soak\r\n" + this->Headers.RequestId +
-                     ": " + Request.Id + "\r\n" + this->Headers.DeadlineMs +
-                     ": " +
-                     std::to_string(toMillis(this->CurrentPlan.Deadline)) +
-                     "\r\n" + "Authorization: " + this->Headers.KeyScheme +
-                     " " + Request.Key + "\r\nContent-Length: 4\r\n\r\nwork";
+  std::string Text =
+      "POST " + this->CurrentPlan.Path + " HTTP/1.1\r\nHost: soak\r\n" +
+      this->Headers.RequestId + ": " + Request.Id + "\r\n" +
+      this->Headers.DeadlineMs + ": " +
+      std::to_string(toMillis(this->CurrentPlan.Deadline)) + "\r\n" +
+      "Authorization: " + this->Headers.KeyScheme + " " + Request.Key + "\r\n";
+  if (!Request.Resumes.empty()) {
+    Text += this->Headers.Resumes + ": " + Request.Resumes +
+            "\r\nLast-Event-Id: " + std::to_string(Request.FirstEvent - 1) +
+            "\r\n";
+  }
+  Text += "Content-Length: 4\r\n\r\nwork";
   bufferevent_write(this->Socket, Text.data(), Text.size());
   timeval After = toTimeval(this->CurrentPlan.Deadline + GiveUpDelay);
   event_add(this->Timer, &After);
@@ -110,7 +121,9 @@
 
 bool SoakCaller::onHead(HttpHead &Head) {
   this->Answer.Status = Head.Status;
-  this->Answer.Stamped = Head.find(this->Headers.ServerStamp) != nullptr;
+  const std::string *Stamp = Head.find(this->Headers.ServerStamp);
+  this->Answer.Stamped = Stamp != nullptr;
+  this->Answer.Instance = Stamp == nullptr ? "" : *Stamp;
   this->KeepAlive = Head.KeepAlive && !Head.BodyEndsAtClose;
   const std::string *Id = Head.find(this->Headers.RequestId);
   if (Head.Status == 200 &&
@@ -166,9 +179,32 @@
   if (!Complete || ClosedByHost || !this->KeepAlive) {
     this->closeConnection();
   }
-  if (!this->Finishing) {
+  if (!this->Finishing && !this->planResumption(Complete)) {
     this->scheduleNext();
   }
 }
 
+bool SoakCaller::planResumption(bool Complete) {
+  SentRequest &Request = this->CurrentPlan.Request;
+  bool IsStream = Request.Kind == RouteKind::Stream && Request.Repeatable;
+  uint32_t Events = static_cast<uint32_t>(
+      std::count(this->Answer.Body.begin(), this->Answer.Body.end(), ';'));
+  bool HasPart = this->Answer.Status == 200 && Events > 0;
+  bool GoesOn = HasPart || this->Resumptions > 0;
+  bool IsWhole = HasPart && Complete;
+  if (!IsStream || !GoesOn || IsWhole || ++this->Resumptions > MaxResumptions) {
+    return false;
+  }
+  if (HasPart) {
+    Request.FirstEvent += Events;
+  }
+  if (Request.Resumes.empty()) {
+    Request.Resumes = Request.Id;
+  }
+  Request.Id = Request.Resumes + "-" + std::to_string(this->Resumptions);
+  timeval After = toTimeval(ResumptionPause);
+  event_add(this->Timer, &After);
+  return true;
+}
+
 } // namespace shallotlatch::soak
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -60,6 +60,9 @@
   void sendRequest();
   void readAnswer();
   void finishRequest(bool Complete, bool ClosedByHost);
+  /// Plans to go on with the stream that the current request has brought a part
+  /// of. Returns false if there is none or it was tried often enough.
+  bool planResumption(bool Complete);
   void closeConnection();
 
   event_base *Base;
@@ -72,6 +75,7 @@
   event *Timer = nullptr; ///< Runs for the pause, then for the deadline.
   CallerHost CurrentHost;
   RequestPlan CurrentPlan;
+  uint32_t Resumptions = 0; ///< Of the current stream.
   ReceivedAnswer Answer;
   bool KeepAlive = true;
   bool Busy = false;
--- a/tools/soak/soak_judge.cpp
+++ b/tools/soak/soak_judge.cpp
@@ -145,7 +145,8 @@
   if (Answer.Status != 200) {
     return;
   }
-  std::string Expected = answerBody(R.Request.Id, R.Request.Kind);
+  std::string Expected =
+      answerBody(R.Request.Id, R.Request.Kind, R.Request.FirstEvent);
   bool IsPrefix = Expected.compare(0, Answer.Body.size(), Answer.Body) == 0;
   bool Wrong = Answer.Complete ? Answer.Body != Expected : !IsPrefix;
   if (Wrong || (Answer.Complete && (!Answer.Stamped || !Ran))) {
@@ -345,6 +346,7 @@
     this->checkGracefulStop(Item.second, Out);
   }
   this->checkVersionOrder(Out);
+  this->checkStreams(Out);
   this->checkNotices(Out);
   this->checkQuotas(Out);
   this->checkRetryBudget(Out);
--- a/tools/soak/soak_judge.h
+++ b/tools/soak/soak_judge.h
@@ -58,12 +58,17 @@
   /// Configuration version that alone contains the request's route. Zero if the
   /// route exists in every version.
   uint64_t RouteVersion = 0;
+  /// Id of the request that brought the first event of the stream that this one
+  /// goes on with; empty if it goes on with none.
+  std::string Resumes;
+  uint32_t FirstEvent = 1; ///< Number of the first event that is asked for.
 };
 
 /// The answer to a request as its caller received it.
 struct ReceivedAnswer {
   int Status = 0;       ///< HTTP status, or zero if no answer was received.
   bool Stamped = false; ///< Whether a target's server stamp is present.
+  std::string Instance; ///< Target that the stamp names.
   bool Complete = false;
   std::string Body; ///< Body, or for a stream the joined data of its events.
   bool ClosedByHost = false;
@@ -117,6 +122,8 @@
   /// Records that the target's answer to request \p Id named a pause.
   void recordPauseNotice(const std::string &Id, const std::string &Instance,
                          Time At, Time Until);
+  /// Records the version of a target's software.
+  void recordSoftware(const std::string &Instance, const std::string &Software);
   void setQuota(const std::string &Customer, double Rate, double Burst);
 
   /// Returns the broken promises. The violations that concern single requests
@@ -125,6 +132,9 @@
   size_t requestCount() const { return this->Requests.size(); }
   /// Returns the number of requests that got a complete answer of status 200.
   size_t completedCount() const;
+  /// Returns the number of requests that go on with a stream, and of those that
+  /// brought events.
+  std::pair<size_t, size_t> resumedCounts() const;
 
 private:
   struct RequestRecord {
@@ -164,6 +174,9 @@
   void checkGracefulStop(const RequestRecord &R,
                          std::vector<Violation> &Out) const;
   void checkVersionOrder(std::vector<Violation> &Out) const;
+  /// Checks that events of no stream come from targets of several versions, in
+  /// one answer or over the requests of its caller.
+  void checkStreams(std::vector<Violation> &Out) const;
   void checkQuotas(std::vector<Violation> &Out) const;
   void checkRetryBudget(std::vector<Violation> &Out) const;
 
@@ -177,6 +190,7 @@
   std::map<std::string, Time> RemovedKeys; ///< Times of the removals.
   std::map<uint64_t, Time> Versions;       ///< Times of the acknowledgements.
   std::map<std::string, Time> DrainTimes;
+  std::map<std::string, std::string> SoftwareOf; ///< By instance.
   std::vector<Notice> Notices;
   std::map<std::string, Quota> Quotas;
 };
--- a/tools/soak/soak_target.cpp
+++ b/tools/soak/soak_target.cpp
@@ -30,6 +30,7 @@
 SoakTarget::SoakTarget(event_base *Base, const TargetInit &Init,
                        const RelayHeaders &Headers, SoakJudge &Judge)
     : Base(Base), Init(Init), Headers(Headers), Judge(Judge) {
+  this->Judge.recordSoftware(Init.Instance, Init.Software);
   HttpServerInit Listen;
   Listen.ListenAddress = Init.At;
   this->Server = std::make_unique<HttpServer>(
--- a/tools/soak/soak_target.h
+++ b/tools/soak/soak_target.h
@@ -21,6 +21,7 @@
   uint32_t Slots = 4;             ///< Requests that the target runs at once.
   Duration WorkTime = millis(30); ///< Time until a request is answered.
   Duration EventInterval = millis(40); ///< Time between the events of a stream.
+  std::string Software; ///< Version of the software; empty if it names none.
   /// Whether connections stay open after an answer.
   bool KeepsConnections = true;
 };
--- a/tools/soak/soak_world.cpp
+++ b/tools/soak/soak_world.cpp
@@ -32,6 +32,10 @@
 // failed health checks, one second apart.
 static constexpr Duration BalancerLag = seconds(2);
 static constexpr uint32_t EngineTargetCount = 4;
+// Starts of targets after which another software version is the newest.
+static constexpr uint32_t StartsPerVersion = TargetCount + 2;
+// Streams last long enough for faults to break some.
+static constexpr Duration StreamEventInterval = millis(120);
 static constexpr uint32_t InitialKeyCount = 8;
 static constexpr double SmallCustomerRate = 20;
 static constexpr double SmallCustomerBurst = 10;
@@ -63,8 +67,8 @@
 }
 
 SoakEnvironment::SoakEnvironment(event_base *Base, const EnvironmentInit &Init)
-    : Base(Base), Init(Init), Random(Init.Seed), Judge(soakBounds()),
-      Headers(platform::platformHeaders()),
+    : Base(Base), Init(Init), Random(Init.Seed), SoftwareRandom(Init.Seed),
+      Judge(soakBounds()), Headers(platform::platformHeaders()),
       Store(Base, this->addressAt(StorePortOffset), Init.Seed),
       HostProcesses(HostCount), TargetSlots(TargetCount) {
   for (const std::string &Name : {EngineService, PlainService}) {
@@ -286,12 +290,18 @@
   Target.Instance = "t-" + std::to_string(this->Random() % 1000000000);
   Target.Service = serviceId(P.ServiceName);
   Target.At = this->addressAt(static_cast<uint16_t>(Port + 1));
+  Target.EventInterval = StreamEventInterval;
+  // A new version joins after every few starts, beside the one before.
+  Target.Software =
+      "v" + std::to_string(this->StartedTargets++ / StartsPerVersion +
+                           this->SoftwareRandom() % 2);
   P.Target = std::make_unique<SoakTarget>(this->Base, Target, this->Headers,
                                           this->Judge);
   P.Proxy =
       std::make_unique<SoakProxy>(this->Base, this->addressAt(Port), Target.At);
   P.Entry = TargetEntry();
   P.Entry.Instance = Target.Instance;
+  P.Entry.Software = Target.Software;
   P.Entry.Service = Target.Service;
   P.Entry.At = this->addressAt(Port);
   P.Entry.Domain = Slot % 2 == 0 ? "north" : "south";
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -119,6 +119,7 @@
   event_base *Base;
   EnvironmentInit Init;
   std::mt19937_64 Random;
+  std::mt19937_64 SoftwareRandom; ///< For the versions of targets only.
   SoakJudge Judge;
   RelayHeaders Headers;
   platform::StoreStandin Store;
@@ -130,6 +131,7 @@
   std::vector<std::string> RemovedKeys;
   uint16_t NextTargetPort = 0; ///< Offset from the first target port.
   uint32_t NextRequestNumber = 1;
+  uint32_t StartedTargets = 0;
   uint32_t UnexpectedExits = 0;
   bool RestartsDisabled = false;
 };
