--- a/tests/version_world.cpp
+++ b/tests/version_world.cpp
@@ -170,8 +170,7 @@
                           {"memoryMb", 260},
                           {"descriptors", 1024}};
   const char *OfAll = getenv("GATEWAY_PROGRAM");
-  const char *Own =
-      getenv(("GATEWAY_PROGRAM_" + std::to_string(Host)).c_str());
+  const char *Own = getenv(("GATEWAY_PROGRAM_" + std::to_string(Host)).c_str());
   const char *Program = Own != nullptr ? Own : OfAll;
   H.Process.start(Program == nullptr ? GATEWAY_PROGRAM : Program, this->Folder,
                   Settings);
--- a/tools/soak/soak_judge_streams.cpp
+++ b/tools/soak/soak_judge_streams.cpp
@@ -31,13 +31,11 @@
         R.Answer.Body.empty()) {
       continue;
     }
-    std::set<std::string> &Of = Instances[R.Request.Resumes.empty()
-                                              ? R.Request.Id
-                                              : R.Request.Resumes];
+    std::set<std::string> &Of =
+        Instances[R.Request.Resumes.empty() ? R.Request.Id : R.Request.Resumes];
     Of.insert(R.Answer.Instance);
     for (const Arrival &A : R.Arrivals) {
-      std::string First =
-          R.Request.Id + "." + std::to_string(A.FirstEvent);
+      std::string First = R.Request.Id + "." + std::to_string(A.FirstEvent);
       if (A.Ran && A.FirstEvent > R.Request.FirstEvent &&
           R.Answer.Body.find(First) != std::string::npos) {
         Of.insert(A.Instance);
