--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -147,6 +147,7 @@
 
 void FleetDirectory::tick(Time CurrentTime) {
   if (CurrentTime - this->Now > MaxTickGap) {
+    this->interruptTargetHistory(this->Now, CurrentTime);
     this->postponeRemovals(CurrentTime + WakeTime);
   }
   this->Now = CurrentTime;
@@ -276,6 +277,7 @@
   }
   this->Reachable = false;
   this->UnreachableSince = this->Now;
+  this->interruptTargetHistory(this->Now, this->Now);
   this->Events.onStoreReachable(false);
   for (Feed &F : this->Feeds) {
     if (!F.CallInFlight || !F.Listing) {
@@ -353,6 +355,9 @@
     return;
   }
   if (Reply.Result != DirectoryReply::Status::Ok) {
+    if (Kind == DirectoryKind::Targets) {
+      this->interruptTargetHistory(this->Now, this->Now);
+    }
     // A watch may have been cut off while it waited. Only a failed list or a
     // repeated failure shows that the store is unreachable.
     if (F.Listing || F.Failures > 0) {
@@ -388,11 +393,7 @@
     this->applyChanges(Kind, Reply.Objects);
     if (Kind == DirectoryKind::Targets) {
       this->recordTargetChanges(Reply.Objects, F.WatchRevision,
-                                Reply.StoreRevision);
-      if (F.CallMode == ReadConsistency::Linearizable &&
-          F.WatchRevision <= this->History.Revision) {
-        this->History.ConfirmedAt = std::max(this->History.ConfirmedAt, ReadAt);
-      }
+                                Reply.StoreRevision, ReadAt);
     }
     F.WatchRevision = Reply.StoreRevision;
   }
@@ -444,9 +445,6 @@
   }
   if (Kind == DirectoryKind::Targets && this->History.Revision == 0) {
     this->History.Revision = F.WatchRevision;
-    if (F.CallMode == ReadConsistency::Linearizable) {
-      this->History.ConfirmedAt = F.List.StartedAt;
-    }
   } else if (Kind == DirectoryKind::Targets) {
     this->History.FillAt = this->Now + this->historyFillDelay();
   }
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -222,7 +222,10 @@
   struct TargetHistory {
     /// All changes up to this revision were reported; 0 until the first list.
     uint64_t Revision = 0;
-    Time ConfirmedAt; ///< Latest time at which that was all there was.
+    /// Since when changes may have been made that no watch has shown, and when
+    /// this was noticed; none while the changes are followed.
+    std::optional<Time> InterruptedAt;
+    Time NoticedAt;
     bool Wanted = false;
     Time WantedAt;
     /// Time at which the changes before the last list are read.
@@ -238,9 +241,12 @@
   Duration historyFillDelay() const;
   void callTargetHistory();
   void onTargetHistory(DirectoryReply &&Reply);
-  /// Reports the targets in \p Changes, which follow on \p From.
+  /// Reports the targets in \p Changes, which follow on \p From, and were read
+  /// by a call that started at \p ReadAt.
   void recordTargetChanges(const std::vector<DirectoryObject> &Changes,
-                           uint64_t From, uint64_t To);
+                           uint64_t From, uint64_t To, Time ReadAt);
+  /// Records that the changes of targets were not followed since \p Since.
+  void interruptTargetHistory(Time Since, Time NoticedAt);
   void tickTargetHistory();
   void endTargetHistoryCall();
 
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -298,7 +298,12 @@
   for (const StreamAsk &Ask : News.Asks) {
     bool Vouches = Ask.Stream == historyId(Ask.Service) &&
                    this->Origins.soleVersion(Ask.Service, Now);
-    if (Vouches && this->StoreView.reachable()) {
+    bool IsAsked =
+        std::any_of(this->HistoryAsks.begin(), this->HistoryAsks.end(),
+                    [&](const HistoryAsk &H) {
+                      return H.Peer == News.Host && H.Ask.Stream == Ask.Stream;
+                    });
+    if (Vouches && this->StoreView.reachable() && !IsAsked) {
       this->HistoryAsks.push_back({News.Host, Ask, bootTime()});
     } else if (!Vouches) {
       Answers.push_back(
