Streams: a search that has ended is not concluded again

The relay concludes all searches that one read of the store covers. None ends another today; a search that is gone by then is now passed over.

--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -143,6 +143,9 @@
 
 void RequestRelay::concludeSearch(PlacementId Id, bool Confirmed) {
   auto It = this->Searches.find(Id);
+  if (It == this->Searches.end()) {
+    return;
+  }
   StreamSearch Search = std::move(It->second);
   this->Searches.erase(It);
   RelayedRequest *R = this->find(Id);
