Tests of tunnels: a peer answers once it has the request

The former code passed such an answer on. The peer now sends what follows its consent when the request has come; the bytes, the ends and the checks are the same, and that nothing was sent to a peer that did not consent is checked for each length by itself.

--- a/tests/test_tunnels.cpp
+++ b/tests/test_tunnels.cpp
@@ -133,12 +133,15 @@
   const std::string All = Open + frameHead(40) + Answer.substr(0, 40) +
                           frameHead(Answer.size() - 40) + Answer.substr(40) +
                           tunnelEnd(TunnelEnd::Closed);
+  // No answer ends before its request has come.
+  Other->BytesBeforeRequest = Open.size();
   for (Action End : {Action::Close, Action::Reset}) {
     Other->AfterSend = End;
     // A reset may take back bytes that were sent before it.
     size_t Last = End == Action::Close ? All.size() : All.size() - 1;
     for (size_t Length = 0; Length <= Last; ++Length) {
       Other->Bytes = All.substr(0, Length);
+      Other->Received.clear();
       std::string Text = this->ask("/once/x", Id);
       const char *Status = Length == All.size()   ? " 200 "
                            : Length < Open.size() ? " 503 "
