--- a/tests/test_odd_answers.cpp
+++ b/tests/test_odd_answers.cpp
@@ -84,8 +84,11 @@
   for (const char *Status :
        {"000 No", "099 No", "101 Switching Protocols", "600 No", "999 No"}) {
     for (const std::string &Behind : {std::string(), validAnswer("second")}) {
-      T.Steps = {
-          {std::string("HTTP/1.1 ") + Status + Rest + Behind, Action::Close}};
+      std::string Bytes = "HTTP/1.1 ";
+      Bytes += Status;
+      Bytes += Rest;
+      Bytes += Behind;
+      T.Steps = {{Bytes, Action::Close}};
       std::string Answer =
           H->sendRequest("/once/x", "r" + std::to_string(++Number), "\r\n\r\n");
       CHECK_TEXT(contains(Answer, "HTTP/1.1 502 "), Answer.c_str());
