--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -109,8 +109,7 @@
     }
     Gateway &G = *Left[I % Left.size()];
     std::string Id = freshId();
-    Log.line("client takes " + S.Id + " up after event " + Last + " as " + Id +
-             " at " + G.init().Name);
+    Log.line(takenUpLine(S.Id, Last, Id, G.init().Name));
     S.TakenUp = std::make_unique<Client>(Main, G.port(),
                                          streamRequest(Id, 12000, S.Id, Last));
     Main.runFor(20);
--- a/review/kit2/deployment.cpp
+++ b/review/kit2/deployment.cpp
@@ -65,6 +65,12 @@
          std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+std::string takenUpLine(const std::string &Stream, const std::string &LastEvent,
+                        const std::string &Id, const std::string &Machine) {
+  return "client takes " + Stream + " up after event " + LastEvent + " as " +
+         Id + " at " + Machine;
+}
+
 // Events are "id: N\ndata: N VERSION SERVER\n\n".
 std::vector<std::string> versionsOf(const std::string &Body) {
   std::vector<std::string> Versions;
--- a/review/kit2/deployment.h
+++ b/review/kit2/deployment.h
@@ -19,6 +19,10 @@
 std::string orderRequest(const std::string &Id, int64_t DeadlineMs,
                          const std::string &Body);
 
+// Line of the record on a stream that is taken up as attempt Id.
+std::string takenUpLine(const std::string &Stream, const std::string &LastEvent,
+                        const std::string &Id, const std::string &Machine);
+
 // Version of the software that wrote each event of a stream's body.
 std::vector<std::string> versionsOf(const std::string &Body);
 // Id of the last whole event; empty if there is none.
--- a/review/kit2/world.h
+++ b/review/kit2/world.h
@@ -122,6 +122,12 @@
   int KeepAliveS = 0;
   // Each run is recorded.
   bool LogsRuns = true;
+  // Requests that wait for a slot; more are turned away.
+  size_t MostWaiting = 0;
+  // Header fields of all answers, each with its line end.
+  std::string MoreFields;
+  // Called when a request was turned away for want of room.
+  std::function<void(Server &)> OnTurnedAway;
 
   std::string stamp(const Run &R) const;
   std::string head(const Run &R, int Status, const std::string &Framing) const;
@@ -138,6 +144,9 @@
   void endProcess();
   void onAccept(int Accepted);
   void onData(Peer &P);
+  void run(Peer &P, Message Request);
+  void turnAway(Peer &P, const Message &Request, bool IsOther);
+  void runWaiting();
   void beat();
   void nextEvent(uint64_t Number, unsigned Next, unsigned Last, int64_t GapMs);
   void ended(uint64_t Number, bool Close);
@@ -156,6 +165,7 @@
   bool Registered = false;
   std::list<Peer> Peers;
   std::map<uint64_t, Run> Runs;
+  std::deque<std::pair<Connection *, Message>> Waiting;
   uint64_t NextRun = 1;
 };
 
