--- a/src/fleet_streams.cpp
+++ b/src/fleet_streams.cpp
@@ -1,6 +1,8 @@
 // Which peers are told of streams and asked for them.
 #include "fleet_exchange_p.h"
 
+#include "event_log_p.h"
+
 #include <algorithm>
 
 namespace shallotlatch {
@@ -126,9 +128,12 @@
   if (News.Notes.empty()) {
     return;
   }
+  std::string Told;
   for (HostId Host : streamKeepers(this->streamPeers(Now))) {
     this->Link.post(Host, News);
+    Told += (Told.empty() ? "" : " ") + toHex(Host.Value);
   }
+  logEvent("streams-told", {{"streams", News.Notes.size()}, {"to", Told}});
 }
 
 void FleetExchange::onStreamNews(const StreamNews &News) {
