--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -3,6 +3,7 @@
 /// date by lists and watches of the platform's store, with the age of each.
 #pragma once
 
+#include "record_store_p.h"
 #include "rollout_order_p.h"
 #include "routing_p.h"
 #include "store_eras_p.h"
@@ -78,6 +79,9 @@
   /// may show the object.
   virtual void writeRolloutStatus(const RolloutStatusWrite &Write,
                                   Reply Done) = 0;
+  /// Returns the records that hosts keep in the same store, or nullptr if it
+  /// takes none.
+  virtual RecordStore *records() { return nullptr; }
 };
 
 /// Receives the changes of the directory.
@@ -167,6 +171,9 @@
   /// `onTargetsUnconfirmed` follows, perhaps from within this call.
   void confirmTargets(Time Now);
   uint64_t storeEra() const { return this->Eras.current(); }
+  /// Returns whether the store shows again all that was written before its
+  /// last return.
+  bool eraSettled(Time Now) const { return this->Eras.settled(Now); }
   const std::shared_ptr<const RoutingConfig> &config() const {
     return this->Config;
   }
--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -372,6 +372,8 @@
     this->Relay.setOwnerDepartingTargets({});
   }
   this->Directory.setLeader(!Follows, this->ownsDomain(), bootTime());
+  this->Relay.setArchiveRole(
+      archiveRole(this->SelfId, this->ownsDomain(), this->streamPeers(Now)));
   this->shareLimits();
 }
 
--- a/src/fleet_exchange_p.h
+++ b/src/fleet_exchange_p.h
@@ -30,6 +30,10 @@
 std::vector<HostId> streamKeepers(const std::vector<StreamPeer> &Peers);
 /// Returns the peers that are asked for a stream that another host began.
 std::vector<HostId> streamHostsToAsk(const std::vector<StreamPeer> &Peers);
+/// Returns what a host writes into the store for its failure domain: the owner
+/// does, or the host with the smallest hash of those that are heard.
+ArchiveRole archiveRole(HostId Self, bool OwnsDomain,
+                        const std::vector<StreamPeer> &Peers);
 /// Returns some of the peers that `streamHostsToAsk` returns, others in each
 /// \p Turn.
 std::vector<HostId> historyHostsToAsk(const std::vector<StreamPeer> &Peers,
--- a/src/fleet_streams.cpp
+++ b/src/fleet_streams.cpp
@@ -72,6 +72,29 @@
   return Asked;
 }
 
+static uint64_t rankOf(HostId Host) { return hashPair(Host.Value, 0); }
+
+// Hosts that see each other late may both write, which does no harm: what they
+// write is the same.
+ArchiveRole archiveRole(HostId Self, bool OwnsDomain,
+                        const std::vector<StreamPeer> &Peers) {
+  ArchiveRole Role;
+  Role.Writes = true;
+  Role.Cleans = true;
+  for (const StreamPeer &P : Peers) {
+    bool IsBefore = P.Heard && rankOf(P.Id) < rankOf(Self);
+    if (P.SameDomain && !OwnsDomain) {
+      Role.Writes &= !P.IsOwner && !IsBefore;
+    }
+    if (!P.SameDomain) {
+      Role.Writers += P.PlacesRequests ? 1 : 0;
+      Role.Cleans &= !P.PlacesRequests || !IsBefore;
+    }
+  }
+  Role.Cleans &= Role.Writes;
+  return Role;
+}
+
 std::vector<StreamPeer> FleetExchange::streamPeers(Time Now) const {
   std::vector<StreamPeer> Peers;
   for (const auto &Item : this->Link.peers()) {
@@ -128,6 +151,7 @@
   if (News.Notes.empty()) {
     return;
   }
+  this->Relay.archiveStreams(News.Notes);
   std::string Told;
   for (HostId Host : streamKeepers(this->streamPeers(Now))) {
     this->Link.post(Host, News);
@@ -139,6 +163,10 @@
 void FleetExchange::onStreamNews(const StreamNews &News) {
   StreamNews Reply;
   Reply.Answers = this->Relay.receive(News);
+  auto Peer = this->Link.peers().find(News.Host);
+  if (Peer != this->Link.peers().end() && Peer->second.SameDomain) {
+    this->Relay.archiveStreams(News.Notes);
+  }
   Reply.LongestLife = this->Relay.longestStreamLife();
   if (!Reply.Answers.empty()) {
     this->Link.post(News.Host, Reply);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -66,6 +66,7 @@
   std::unique_ptr<DirectoryStore> Store;
   std::unique_ptr<FleetDirectory> Directory;
   std::unique_ptr<RequestRelay> Relay;
+  std::unique_ptr<StreamArchive> Archive; ///< Empty: the store takes none.
   std::unique_ptr<FleetExchange> Exchange;
   std::unique_ptr<TunnelServer> Tunnels;
   std::unique_ptr<HttpServer> ReadyServer;
@@ -131,6 +132,13 @@
     RelayOptions.Scheduling.DrainTimeout = Host.DrainTimeout;
     this->Relay = std::make_unique<RequestRelay>(
         this->Base, FrontendOptions, RelayOptions, *this->Directory);
+    if (this->Store->records() != nullptr) {
+      this->Archive = std::make_unique<StreamArchive>(
+          *this->Store->records(), *this->Relay,
+          Host.Host + "-" + std::to_string(this->Self.Run));
+      this->Relay->setArchive(*this->Archive);
+      this->Self.KeepsRecords = true;
+    }
     this->Exchange = std::make_unique<FleetExchange>(
         this->Base, this->Self, *this->Relay, *this->Directory);
     this->Relay->setPlacementChannel(this->Exchange->link());
@@ -186,6 +194,7 @@
     this->Tunnels.reset();
     this->Exchange.reset();
     this->Relay.reset();
+    this->Archive.reset();
     this->Store.reset();
   }
 
@@ -265,6 +274,17 @@
                                   ProcessClock::now())));
     M.setGauge("streams_known",
                static_cast<double>(this->Relay->knownStreams()));
+    if (this->Archive) {
+      ArchiveStats Records = this->Archive->stats();
+      M.setGauge("stream_records_streams",
+                 static_cast<double>(Records.Streams));
+      M.setGauge("stream_records_unwritten",
+                 static_cast<double>(Records.Unwritten));
+      M.setGauge("stream_records_writes", static_cast<double>(Records.Writes));
+      M.setGauge("stream_records_reads", static_cast<double>(Records.Reads));
+      M.setGauge("stream_records_failures",
+                 static_cast<double>(Records.Failures));
+    }
     M.setGauge("limited_targets",
                static_cast<double>(this->Relay->limitedTargets()));
     uint32_t SaidLeaving = 0;
@@ -406,7 +426,12 @@
     this->Relay->removeTarget(Instance);
   }
   void onHost(const FleetHost &Peer) override {
-    logImportantEvent("peer", {{"name", Peer.Name}, {"at", Peer.At.text()}});
+    logImportantEvent("peer", {{"name", Peer.Name},
+                               {"at", Peer.At.text()},
+                               {"keeps-records", Peer.KeepsRecords}});
+    if (this->Archive && !Peer.KeepsRecords) {
+      this->Archive->recordHostWithoutRecords();
+    }
     this->Exchange->link().setPeer(Peer, ProcessClock::now());
   }
   void onHostGone(const std::string &Name) override {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -14,6 +14,7 @@
 #include "retry_budget_p.h"
 #include "run_doubts_p.h"
 #include "service_places_p.h"
+#include "stream_archive_p.h"
 #include "stream_search_p.h"
 #include "target_paths_p.h"
 #include "wire_client_p.h"
@@ -89,7 +90,8 @@
 /// Holds callers' requests and forwards each to a target of its service.
 class RequestRelay : public FrontendEvents,
                      public OutboundCallEvents,
-                     public ConnectProbeEvents {
+                     public ConnectProbeEvents,
+                     public StreamArchiveEvents {
 public:
   RequestRelay(event_base *Base, const FrontendInit &Frontend,
                const RelayInit &Init, FleetDirectory &StoreView);
@@ -123,6 +125,16 @@
   void setPlacementChannel(PlacementTransport &Channel) {
     this->PlacementChannel = &Channel;
   }
+  /// Sets what the store keeps of streams. It must outlive the relay.
+  void setArchive(StreamArchive &Next) { this->Archive = &Next; }
+  void setArchiveRole(const ArchiveRole &Role);
+  /// Has the store keep streams that began in this host's failure domain.
+  void archiveStreams(const std::vector<StreamNote> &Streams);
+  // Implementation of StreamArchiveEvents.
+  void onStreamsRead(const std::vector<StreamNote> &Streams) override;
+  void onVersionsRead(const ServiceVersions &Versions, bool IsTrusted) override;
+  void onRecordsRead(Time ReadAt) override;
+  void onRecordsUnread() override;
   void receive(const PlacementReport &Book);
   void receive(const PlacementReply &Reply);
   std::vector<TargetUse> ownUse() const;
@@ -336,6 +348,17 @@
   void continueSearch(PlacementId Id);
   /// Places the request by what its search has found.
   void concludeSearch(PlacementId Id, bool Confirmed);
+  /// Has the store confirm this host's view for a search, or concludes it if
+  /// that does not help.
+  void searchView(PlacementId Id);
+  /// Searches the store's records. Returns false if there is nothing to read.
+  bool searchRecords(const RelayedRequest &R, StreamSearch &Search);
+  /// Goes on with the searches that \p ReadAt covers; all if it is none.
+  void continueAfterRecords(std::optional<Time> ReadAt);
+  void tickArchive();
+  /// Returns the time after which a stream that is not known now may be, 0 if
+  /// there is none.
+  Duration untilOriginKnown(ServiceId Service) const;
   /// Places the request, or refuses it if the version is not known.
   void placeWithOrigin(RelayedRequest &R, std::optional<SoftwareId> Software,
                        const char *How);
@@ -450,6 +473,7 @@
   std::vector<HistoryAsk> HistoryAsks; ///< Questions that wait for the store.
   std::map<HostId, std::vector<StreamNote>> HistoryAnswers; ///< To be sent.
   std::vector<StreamAsk> UnsentAsks; ///< Asks that peers have not got.
+  StreamArchive *Archive = nullptr;  ///< nullptr: the store takes no records.
   Time NextServingRecord;
   /// Services of the routes of streams.
   std::set<ServiceId> StreamServices;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -49,6 +49,7 @@
   for (PlacementId Id : Open) {
     this->continueSearch(Id);
   }
+  this->tickArchive();
 }
 
 StreamId RequestRelay::streamOf(const RelayedRequest &R) {
@@ -118,26 +119,43 @@
   StreamSearch &Search = It->second;
   std::optional<SoftwareId> Known = this->Origins.find(Search.stream());
   if (Known && !R->Resumes.empty()) {
+    bool WasRead = It->second.triedRecords();
     this->Searches.erase(It);
-    this->placeWithOrigin(*R, Known, "peer");
+    this->placeWithOrigin(*R, Known, WasRead ? "record" : "peer");
     return;
   }
   Time Now = bootTime();
+  if (Search.awaitsRecords()) {
+    if (Search.recordsOverdue(Now)) {
+      Search.endRecords();
+      this->concludeSearch(Id, false);
+    }
+    return;
+  }
   if (Search.awaitsView()) {
     if (Search.viewOverdue(Now)) {
       this->concludeSearch(Id, false);
     }
     return;
   }
-  if (!Search.peersDone(ProcessClock::now())) {
+  if (Search.peersDone(ProcessClock::now())) {
+    this->searchView(Id);
+  }
+}
+
+void RequestRelay::searchView(PlacementId Id) {
+  auto It = this->Searches.find(Id);
+  RelayedRequest *R = this->find(Id);
+  if (It == this->Searches.end() || R == nullptr) {
     return;
   }
   if (!this->StoreView.reachable() ||
-      Search.isUndecidable(this->versionView(R->Service))) {
+      It->second.isUndecidable(this->versionView(R->Service))) {
     this->concludeSearch(Id, false);
     return;
   }
-  Search.awaitView(Now, Now + ViewWait);
+  Time Now = bootTime();
+  It->second.awaitView(Now, Now + ViewWait);
   this->StoreView.confirmTargets(Now);
 }
 
@@ -146,10 +164,9 @@
   if (It == this->Searches.end()) {
     return;
   }
-  StreamSearch Search = std::move(It->second);
-  this->Searches.erase(It);
   RelayedRequest *R = this->find(Id);
   if (R == nullptr) {
+    this->Searches.erase(It);
     return;
   }
   VersionView Own = this->versionView(R->Service);
@@ -158,16 +175,22 @@
   if (R->Resumes.empty()) {
     Own.Sole = Own.OnlySeen;
   }
+  std::optional<SoftwareId> Found = It->second.conclude(Own, Confirmed);
+  if (!Found && this->searchRecords(*R, It->second)) {
+    return;
+  }
+  StreamSearch Search = std::move(It->second);
+  this->Searches.erase(It);
   logEvent("stream-search",
            {{"id", R->RequestId},
             {"asked", Search.asked()},
             {"answered", Search.answered()},
             {"confirmed", Confirmed},
             {"reachable", this->StoreView.reachable()},
+            {"records", Search.triedRecords()},
             {"targets-age-ms", toMillis(this->StoreView.age(
                                    DirectoryKind::Targets, bootTime()))}});
-  this->placeWithOrigin(*R, Search.conclude(Own, Confirmed),
-                        Confirmed ? "confirmed" : "agreed");
+  this->placeWithOrigin(*R, Found, Confirmed ? "confirmed" : "agreed");
 }
 
 void RequestRelay::onVersionsConfirmed(Time ReadAt) {
@@ -233,7 +256,7 @@
   this->Metrics.recordResumption(Software ? How : "unknown");
   if (!Software) {
     this->refuseOrFail(R, "the version that began the stream is not known",
-                       Duration(0));
+                       this->untilOriginKnown(R.Service));
     return;
   }
   R.Software = *Software;
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -140,6 +140,8 @@
   double Cores = 1;   ///< Share of the processor that it may use, in cores.
   /// Era of the store that the host saw settle; 0 if it saw none.
   uint64_t SettledEra = 0;
+  /// The host writes the versions that it sees into the store's record.
+  bool KeepsRecords = false;
 };
 
 /// Returns the id of a service, a hash of its name.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -147,6 +147,37 @@
   return Asks;
 }
 
+KnownVersions StreamOrigins::knownVersions(const std::set<ServiceId> &Services,
+                                           Time Now) const {
+  KnownVersions Known;
+  Known.CoversAllServices = Now >= this->UnseenLifeEnd;
+  for (ServiceId Service : Services) {
+    auto It = this->Histories.find(Service);
+    if (It == this->Histories.end()) {
+      continue;
+    }
+    VersionSet &Set = Known.Services[Service];
+    for (const auto &Item : It->second.Versions) {
+      Set.Versions.insert(Item.first);
+    }
+    Set.IsComplete = Known.CoversAllServices || It->second.Vouched;
+  }
+  return Known;
+}
+
+// Versions that this host has not seen may have begun streams until just now,
+// as far as it knows.
+void StreamOrigins::mergeVersions(const ServiceVersions &Recorded,
+                                  bool IsTrusted, Time Now) {
+  for (const auto &Item : Recorded) {
+    ServiceHistory &History = this->Histories[Item.first];
+    for (SoftwareId Software : Item.second.Versions) {
+      History.Versions.try_emplace(Software, this->lifeEnd(Now));
+    }
+    History.Vouched |= IsTrusted && Item.second.IsComplete;
+  }
+}
+
 void StreamOrigins::recordGap(Time Now) {
   this->UnseenLifeEnd = this->lifeEnd(Now);
   for (auto &Item : this->Histories) {
@@ -231,6 +262,9 @@
   }
   for (auto &Item : this->Histories) {
     std::map<SoftwareId, Time> &Versions = Item.second.Versions;
+    if (Versions.empty()) {
+      continue;
+    }
     Time Newest = std::max_element(Versions.begin(), Versions.end(),
                                    [](const auto &A, const auto &B) {
                                      return A.second < B.second;
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -57,6 +57,27 @@
   Duration LongestLife{0};
 };
 
+/// Software versions of one service at which streams may have begun that can
+/// still go on.
+struct VersionSet {
+  std::set<SoftwareId> Versions;
+  bool IsComplete = false; ///< There are no others.
+  bool operator==(const VersionSet &Other) const {
+    return this->Versions == Other.Versions &&
+           this->IsComplete == Other.IsComplete;
+  }
+};
+using ServiceVersions = std::map<ServiceId, VersionSet>;
+
+/// What a host knows of the versions of all services.
+struct KnownVersions {
+  ServiceVersions Services;
+  /// No other service has streams that can go on.
+  bool CoversAllServices = false;
+  /// What the store's record marks as complete is.
+  bool TrustsRecord = false;
+};
+
 /// Keeps the versions that began streams lately, the own ones and those that
 /// peers noted here. Times are passed in.
 class StreamOrigins {
@@ -89,6 +110,12 @@
   /// while no question is due.
   std::vector<StreamAsk> takeHistoryAsks(const std::set<ServiceId> &Services,
                                          Time Now);
+  /// Returns the versions of those of \p Services of which targets were seen.
+  KnownVersions knownVersions(const std::set<ServiceId> &Services,
+                              Time Now) const;
+  /// Records the versions that the store's record names. \p IsTrusted: those
+  /// that it marks as complete are.
+  void mergeVersions(const ServiceVersions &Recorded, bool IsTrusted, Time Now);
   /// Records that targets may have served up to \p Now that were not recorded.
   void recordGap(Time Now);
   std::optional<SoftwareId> find(StreamId Stream) const;
@@ -121,7 +148,7 @@
     /// began at them.
     std::map<SoftwareId, Time> Versions;
     /// `Versions` covers the time before this process started, since a peer
-    /// knew of one version alone.
+    /// knew of one version alone or the store's record names them.
     bool Vouched = false;
   };
   /// Returns the time after which no stream goes on that has begun by now.
--- a/src/stream_search.cpp
+++ b/src/stream_search.cpp
@@ -28,6 +28,15 @@
   this->ViewUntil = Until;
 }
 
+void StreamSearch::awaitRecords(Time Now, Time Until) {
+  this->ViewAskedAt.reset();
+  this->RecordsAskedAt = Now;
+  this->RecordsUntil = Until;
+  this->TriedRecords = true;
+}
+
+void StreamSearch::endRecords() { this->RecordsAskedAt.reset(); }
+
 bool StreamSearch::isUndecidable(const VersionView &Own) const {
   return this->VersionsDiffer || this->Guesses.size() > 1 || Own.Versions > 1;
 }
--- a/src/stream_search_p.h
+++ b/src/stream_search_p.h
@@ -46,6 +46,21 @@
   bool viewOverdue(Time Now) const {
     return this->ViewAskedAt && Now >= this->ViewUntil;
   }
+  /// Awaits what the store's records say. They have to be read after \p Now.
+  void awaitRecords(Time Now, Time Until);
+  bool awaitsRecords() const { return this->RecordsAskedAt.has_value(); }
+  /// Returns whether records that were read at \p ReadAt hold all that was
+  /// written before the search.
+  bool recordsCoveredBy(Time ReadAt) const {
+    return this->RecordsAskedAt && ReadAt >= *this->RecordsAskedAt;
+  }
+  bool recordsOverdue(Time Now) const {
+    return this->RecordsAskedAt && Now >= this->RecordsUntil;
+  }
+  /// The records were read, or cannot be.
+  void endRecords();
+  /// Returns whether the records were asked for already.
+  bool triedRecords() const { return this->TriedRecords; }
   /// Returns whether several versions may have begun the stream, whatever the
   /// store says.
   bool isUndecidable(const VersionView &Own) const;
@@ -61,6 +76,9 @@
   Time AnswerUntil;
   std::optional<Time> ViewAskedAt;
   Time ViewUntil;
+  std::optional<Time> RecordsAskedAt;
+  Time RecordsUntil;
+  bool TriedRecords = false;
   size_t Asked = 0; ///< Peers that were sent the question.
   std::set<HostId> Answered;
   size_t Guessed = 0;           ///< Peers that guess one of `Guesses`.
--- a/tests/version_world.cpp
+++ b/tests/version_world.cpp
@@ -62,11 +62,7 @@
   return C;
 }
 
-static std::string domainOf(uint32_t Host) {
-  return Host < VersionWorld::HostCount / 2 ? "north" : "south";
-}
-
-static std::string hostName(uint32_t Host) {
+std::string VersionWorld::hostName(uint32_t Host) {
   return "host-" + std::to_string(Host);
 }
 
@@ -95,39 +91,58 @@
   }
 }
 
-VersionWorld::VersionWorld()
+Address VersionWorld::takeAddress() {
+  Address At = this->Free.back();
+  this->Free.pop_back();
+  return At;
+}
+
+VersionWorld::VersionWorld(const std::vector<std::string> &Domains,
+                           bool SharedStore)
     : Base(event_base_new()), Judge(soak::PromiseBounds()),
-      Headers(platform::platformHeaders()), Hosts(HostCount) {
+      Headers(platform::platformHeaders()), Hosts(Domains.size()) {
   signal(SIGPIPE, SIG_IGN);
   char Pattern[] = "/tmp/shallot-versions-XXXXXX";
   if (mkdtemp(Pattern) == nullptr) {
     throw std::runtime_error("cannot make a folder");
   }
   this->Folder = Pattern;
-  this->Free = soak::freeAddresses(HostCount * size_t{4} +
-                                   HostCount * (HostCount - 1) + MaxTargets);
-  auto TakeAddress = [this] {
-    Address At = this->Free.back();
-    this->Free.pop_back();
-    return At;
-  };
-  for (HostParts &H : this->Hosts) {
+  size_t LinkCount = SharedStore ? 0 : Domains.size() * (Domains.size() - 1);
+  this->Free =
+      soak::freeAddresses(Domains.size() * size_t{4} + LinkCount + MaxTargets);
+  for (size_t I = 0; I < Domains.size(); ++I) {
+    HostParts &H = this->Hosts[I];
+    H.Domain = Domains[I];
     for (Address *At : {&H.Caller, &H.Ready, &H.Peer, &H.StoreAt}) {
-      *At = TakeAddress();
+      *At = this->takeAddress();
     }
-    H.Store = std::make_unique<platform::StoreStandin>(this->Base, H.StoreAt,
+    if (SharedStore && I > 0) {
+      H.Store = this->Hosts[0].Store;
+      H.StoreAt = this->Hosts[0].StoreAt;
+      continue;
+    }
+    H.Store = std::make_shared<platform::StoreStandin>(this->Base, H.StoreAt,
                                                        WorldSeed);
     H.Store->put(DirectoryKind::Config, "main",
                  platform::encodeConfig(makeConfig()));
   }
-  for (uint32_t From = 0; From < HostCount; ++From) {
-    for (uint32_t To = 0; To < HostCount; ++To) {
+  if (!SharedStore) {
+    this->makeLinks();
+  }
+  for (uint32_t I = 0; I < this->Hosts.size(); ++I) {
+    this->startHost(I);
+  }
+}
+
+void VersionWorld::makeLinks() {
+  for (uint32_t From = 0; From < this->Hosts.size(); ++From) {
+    for (uint32_t To = 0; To < this->Hosts.size(); ++To) {
       if (From == To) {
         continue;
       }
       FleetHost Entry;
-      Entry.At = TakeAddress();
-      Entry.Domain = domainOf(To);
+      Entry.At = this->takeAddress();
+      Entry.Domain = this->Hosts[To].Domain;
       Entry.Run = 1;
       this->Links.push_back({From, To,
                              std::make_unique<DatagramProxy>(
@@ -136,9 +151,6 @@
                                    platform::encodeHost(Entry));
     }
   }
-  for (uint32_t I = 0; I < HostCount; ++I) {
-    this->startHost(I);
-  }
 }
 
 VersionWorld::~VersionWorld() {
@@ -160,7 +172,7 @@
 void VersionWorld::startHost(uint32_t Host) {
   HostParts &H = this->Hosts[Host];
   nlohmann::json Settings{{"host", hostName(Host)},
-                          {"failureDomain", domainOf(Host)},
+                          {"failureDomain", H.Domain},
                           {"region", "r"},
                           {"caller", H.Caller.text()},
                           {"ready", H.Ready.text()},
@@ -205,7 +217,11 @@
   T.Entry.Instance = Init.Instance;
   T.Entry.Service = Init.Service;
   T.Entry.At = Init.At;
-  T.Entry.Domain = Number % 2 == 0 ? "north" : "south";
+  std::set<std::string> Domains;
+  for (const HostParts &H : this->Hosts) {
+    Domains.insert(H.Domain);
+  }
+  T.Entry.Domain = *std::next(Domains.begin(), Number % Domains.size());
   T.Entry.Slots = Init.Slots;
   T.Entry.StartedAtMs = 1 + Number;
   T.Entry.Software = Software;
@@ -288,8 +304,7 @@
 }
 
 std::vector<std::shared_ptr<CallerStream>>
-VersionWorld::beginStreams(uint32_t Host, size_t Count,
-                           const std::string &Software) {
+VersionWorld::beginStreams(uint32_t Host, size_t Count) {
   std::vector<std::shared_ptr<CallerStream>> All;
   for (size_t I = 0; I < Count; ++I) {
     All.push_back(this->send(Host, ""));
@@ -302,7 +317,19 @@
   });
   std::vector<std::shared_ptr<CallerStream>> Begun;
   for (const std::shared_ptr<CallerStream> &S : All) {
-    if (S->hasEvent() && this->softwareOf(*S) == Software) {
+    if (S->hasEvent()) {
+      Begun.push_back(S);
+    }
+  }
+  return Begun;
+}
+
+std::vector<std::shared_ptr<CallerStream>>
+VersionWorld::beginStreams(uint32_t Host, size_t Count,
+                           const std::string &Software) {
+  std::vector<std::shared_ptr<CallerStream>> Begun;
+  for (const auto &S : this->beginStreams(Host, Count)) {
+    if (this->softwareOf(*S) == Software) {
       Begun.push_back(S);
     }
   }
@@ -315,14 +342,19 @@
                               ": " + Stream.Id + "\r\n");
 }
 
-size_t VersionWorld::countGoneOn(
-    const std::vector<std::shared_ptr<CallerStream>> &Streams,
-    const std::string &Software) {
+void VersionWorld::awaitAnswers(
+    const std::vector<std::shared_ptr<CallerStream>> &Streams) {
   this->runUntil([&Streams] {
     return std::all_of(
         Streams.begin(), Streams.end(),
         [](const std::shared_ptr<CallerStream> &S) { return S->Ended; });
   });
+}
+
+size_t VersionWorld::countGoneOn(
+    const std::vector<std::shared_ptr<CallerStream>> &Streams,
+    const std::string &Software) {
+  this->awaitAnswers(Streams);
   return static_cast<size_t>(
       std::count_if(Streams.begin(), Streams.end(),
                     [&](const std::shared_ptr<CallerStream> &S) {
--- a/tests/version_world.h
+++ b/tests/version_world.h
@@ -1,7 +1,8 @@
 /// \file
-/// A fleet of gateway processes, of which each has a store of its own and hears
-/// the others over links that can be cut, in front of targets of several
-/// software versions. All parts but the processes run in the caller's thread.
+/// A fleet of gateway processes in front of targets of several software
+/// versions. Each has a store of its own and hears the others over links that
+/// can be cut, or all share one store and hear each other. All parts but the
+/// processes run in the caller's thread.
 #pragma once
 
 #include "datagram_proxy.h"
@@ -47,10 +48,11 @@
 /// Processes, their stores and links, targets and streams.
 class VersionWorld {
 public:
-  /// Hosts 0 and 1 are in one failure domain, 2 and 3 in the other.
-  static constexpr uint32_t HostCount = 4;
-
-  VersionWorld();
+  /// Hosts 0 and 1 are in one failure domain, 2 and 3 in the other; each has
+  /// its own store.
+  VersionWorld() : VersionWorld({"north", "north", "south", "south"}, false) {}
+  /// \p Domains: failure domain of each host.
+  VersionWorld(const std::vector<std::string> &Domains, bool SharedStore);
   ~VersionWorld();
   VersionWorld(const VersionWorld &) = delete;
   VersionWorld &operator=(const VersionWorld &) = delete;
@@ -59,6 +61,7 @@
   /// stream lasts.
   void runForOneLife();
   void runFor(Duration For);
+  static std::string hostName(uint32_t Host);
   /// Runs until \p Done returns true. Returns false if it does not in time.
   bool runUntil(const std::function<bool()> &Done);
   /// Starts a target and returns its number. No store shows it.
@@ -72,6 +75,8 @@
   void cutLinks(const std::set<uint32_t> &Hosts, bool Cut);
   void signalHost(uint32_t Host, int Number);
   void killHost(uint32_t Host);
+  /// Starts a host; one that has been killed, as a new process.
+  void startHost(uint32_t Host);
   platform::StoreFaults &storeFaults(uint32_t Host) {
     return this->Hosts[Host].Store->Faults;
   }
@@ -80,9 +85,16 @@
   /// that targets of \p Software began.
   std::vector<std::shared_ptr<CallerStream>>
   beginStreams(uint32_t Host, size_t Count, const std::string &Software);
+  /// Begins streams at \p Host and returns those that got their first events.
+  std::vector<std::shared_ptr<CallerStream>> beginStreams(uint32_t Host,
+                                                          size_t Count);
   /// Takes a stream up at \p Host after its first event.
   std::shared_ptr<CallerStream> takeUp(uint32_t Host,
                                        const CallerStream &Stream);
+  /// Waits for the ends of the answers to \p Streams.
+  void awaitAnswers(const std::vector<std::shared_ptr<CallerStream>> &Streams);
+  /// Returns the version of the target that answered; empty if none did.
+  std::string softwareOf(const CallerStream &Stream) const;
   /// Waits for the answers to \p Streams. Returns the number of those with
   /// events of \p Software.
   size_t countGoneOn(const std::vector<std::shared_ptr<CallerStream>> &Streams,
@@ -94,7 +106,8 @@
   struct HostParts {
     soak::GatewayProcess Process;
     Address Caller, Ready, Peer, StoreAt;
-    std::unique_ptr<platform::StoreStandin> Store;
+    std::string Domain;
+    std::shared_ptr<platform::StoreStandin> Store;
   };
   /// The way of datagrams from one host to another.
   struct Link {
@@ -107,9 +120,10 @@
     TargetEntry Entry;
   };
 
-  void startHost(uint32_t Host);
+  /// Makes a store for each host, and links between all of them.
+  void makeLinks();
+  Address takeAddress();
   std::shared_ptr<CallerStream> send(uint32_t Host, const std::string &Fields);
-  std::string softwareOf(const CallerStream &Stream) const;
 
   event_base *Base;
   std::string Folder;
