--- a/review/kit3/gateway.cpp
+++ b/review/kit3/gateway.cpp
@@ -103,6 +103,17 @@
   return this->Pid > 0;
 }
 
+int64_t Gateway::memoryMb() const {
+  std::ifstream In("/proc/" + std::to_string(this->Pid) + "/status");
+  static const std::string Field = "VmRSS:";
+  for (std::string Line; std::getline(In, Line);) {
+    if (Line.compare(0, Field.size(), Field) == 0) {
+      return strtoll(Line.c_str() + Field.size(), nullptr, 10) / 1024;
+    }
+  }
+  return 0;
+}
+
 bool Gateway::ready() const {
   Attempt A;
   A.Method = "GET";
--- a/review/kit3/gateway.h
+++ b/review/kit3/gateway.h
@@ -30,6 +30,8 @@
   /// Ends the process at once.
   void kill();
   bool running();
+  /// Returns the memory that the process holds.
+  int64_t memoryMb() const;
   /// Asks whether the machine is ready, as the platform does.
   bool ready() const;
   uint16_t port() const { return this->CallerPort; }
