--- a/review/kit3/gateway.cpp
+++ b/review/kit3/gateway.cpp
@@ -122,7 +122,12 @@
   return send(this->ReadyPort, A).Status == 200;
 }
 
-json makeConfig(uint64_t Version, const std::vector<RouteInit> &Routes) {
+json makeConfig(uint64_t Version, const std::vector<RouteInit> &Routes,
+                const std::vector<std::string> &MoreKeys) {
+  json Keys{TenantKey};
+  for (const std::string &Key : MoreKeys) {
+    Keys.push_back(Key);
+  }
   json RouteList = json::array();
   json Services = json::object();
   for (const RouteInit &R : Routes) {
@@ -165,7 +170,7 @@
                 {"idle-timeout-ms", 15000}}},
               {"tenants",
                {{{"name", "hule930"},
-                 {"api-keys", {TenantKey}},
+                 {"api-keys", Keys},
                  {"priority", 1},
                  {"unit", "token_count"},
                  {"uncached-tokens", 200},
--- a/review/kit3/gateway.h
+++ b/review/kit3/gateway.h
@@ -60,9 +60,11 @@
 };
 
 /// Returns a configuration whose routes are at /NAME/ of front.example, with
-/// one tenant of one key. Services with streaming routes are engines.
+/// one tenant, which has TenantKey and \p MoreKeys. Services with streaming
+/// routes are engines.
 nlohmann::json makeConfig(uint64_t Version,
-                          const std::vector<RouteInit> &Routes);
+                          const std::vector<RouteInit> &Routes,
+                          const std::vector<std::string> &MoreKeys = {});
 extern const char *const TenantKey;
 
 /// Waits until all gateways are ready; false if one is not in time.
--- a/review/kit3/store.cpp
+++ b/review/kit3/store.cpp
@@ -43,6 +43,33 @@
   this->Changed.notify_all();
 }
 
+void Store::copy() {
+  std::lock_guard<std::mutex> Guard(this->Lock);
+  this->CopiedRevision = this->Revision;
+  this->Copied = this->Objects;
+}
+
+void Store::returnFromCopy(int64_t AwayMs) {
+  {
+    std::lock_guard<std::mutex> Guard(this->Lock);
+    this->IsAway = true;
+    this->Changed.notify_all();
+  }
+  this->Sockets.shutdownAll(true);
+  sleepMs(AwayMs);
+  std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Objects = this->Copied;
+  this->Revision = this->CopiedRevision;
+  this->History.clear();
+  ++this->Era;
+  this->IsAway = false;
+}
+
+bool Store::isAway() {
+  std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->IsAway;
+}
+
 json Store::encode(const std::string &Name, const Object &O) {
   return json{{"metadata",
                {{"name", Name},
@@ -90,22 +117,27 @@
 
 void Store::serve(int Fd) {
   Wire W(Fd);
+  this->Sockets.add(Fd);
   Head H;
   std::string Body;
-  while (W.readHead(H) && readBody(W, H, Body)) {
+  bool Keep = !this->isAway();
+  while (Keep && W.readHead(H) && readBody(W, H, Body) && !this->isAway()) {
     Reply R = this->answer(H, Body);
+    uint64_t NamedEra = 0;
     {
       std::unique_lock<std::mutex> Guard(this->Lock);
       this->Changed.wait(Guard, [this] { return !this->IsSilent; });
+      NamedEra = this->Era;
     }
     std::string Text = R.Body.dump();
-    if (!W.write("HTTP/1.1 " + std::to_string(R.Status) +
-                 " Status\r\nContent-Type: application/json\r\n"
-                 "Store-Era: 1\r\nContent-Length: " +
-                 std::to_string(Text.size()) + "\r\n\r\n" + Text)) {
-      return;
-    }
+    Keep = !this->isAway() &&
+           W.write("HTTP/1.1 " + std::to_string(R.Status) +
+                   " Status\r\nContent-Type: application/json\r\n"
+                   "Store-Era: " +
+                   std::to_string(NamedEra) + "\r\nContent-Length: " +
+                   std::to_string(Text.size()) + "\r\n\r\n" + Text);
   }
+  this->Sockets.remove(Fd);
 }
 
 Store::Reply Store::answer(const Head &H, const std::string &Body) {
@@ -160,7 +192,10 @@
 Store::Reply Store::watch(const std::string &Kind, uint64_t Since,
                           int64_t WaitMs) {
   std::unique_lock<std::mutex> Guard(this->Lock);
-  if (!this->History.empty() && Since + 1 < this->History.front().Revision) {
+  bool IsGone = this->History.empty()
+                    ? Since < this->Revision
+                    : Since + 1 < this->History.front().Revision;
+  if (IsGone || Since > this->Revision) {
     return {410, json::object()};
   }
   json Events = json::array();
@@ -172,7 +207,7 @@
         Events.insert(Events.begin(), It->Content);
       }
     }
-    return !Events.empty();
+    return this->IsAway || !Events.empty();
   };
   this->Changed.wait_for(Guard, std::chrono::milliseconds(WaitMs), HasEvents);
   return {200, {{"events", Events}, {"at", this->Revision}}};
--- a/review/kit3/store.h
+++ b/review/kit3/store.h
@@ -23,6 +23,11 @@
   void erase(const std::string &Kind, const std::string &Name);
   /// While set, calls get no answer.
   void setSilent(bool Silent);
+  /// Keeps a copy of all objects.
+  void copy();
+  /// Goes away: closes all connections and answers nothing. Comes back after
+  /// the time from the copy, with the next era.
+  void returnFromCopy(int64_t AwayMs);
 
 private:
   struct Object {
@@ -44,6 +49,7 @@
   static nlohmann::json encode(const std::string &Name, const Object &O);
   void note(const std::string &Kind, const std::string &Name, bool Deleted);
   void serve(int Fd);
+  bool isAway();
   Reply answer(const Head &H, const std::string &Body);
   Reply list(const std::string &Kind, const std::string &After);
   Reply watch(const std::string &Kind, uint64_t Since, int64_t WaitMs);
@@ -55,9 +61,14 @@
   std::mutex Lock;
   std::condition_variable Changed;
   bool IsSilent = false;
+  bool IsAway = false;
+  uint64_t Era = 1;
+  OpenSockets Sockets;
   uint64_t Revision = 100;
   std::map<std::string, std::map<std::string, Object>> Objects;
   std::deque<Event> History;
+  uint64_t CopiedRevision = 0;
+  std::map<std::string, std::map<std::string, Object>> Copied;
 };
 
 } // namespace review3
