--- a/review/kit3/net.cpp
+++ b/review/kit3/net.cpp
@@ -269,7 +269,7 @@
       // A connection that is disconnected from its peer's address is reset.
       sockaddr Nothing{};
       Nothing.sa_family = AF_UNSPEC;
-      connect(Fd, &Nothing, sizeof(Nothing));
+      static_cast<void>(connect(Fd, &Nothing, sizeof(Nothing)));
     }
     shutdown(Fd, SHUT_RDWR);
   }
