Log refusals of targets that do not prove that a request did not run

The logs did not tell whether a target's answer had the proof, so an answer that was passed on, a refusal of the host's own and a proof read wrongly looked alike. refusal-unproven and shallotlatch_unproven_refusals_total tell.

--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -47,6 +47,13 @@
                             "targets")
                       .Register(Registry)
                       .Add({})),
+      UnprovenRefusals(prometheus::BuildCounter()
+                           .Name("shallotlatch_unproven_refusals_total")
+                           .Help("Answers of targets with status 408, 429 or "
+                                 "503 that do not prove that the request did "
+                                 "not run")
+                           .Register(Registry)
+                           .Add({})),
       RequestDurations(prometheus::BuildHistogram()
                            .Name("shallotlatch_request_seconds")
                            .Help("From a request's last byte to its end")
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -44,6 +44,9 @@
   void recordQuotaDecision(bool Admitted);
   /// Counts one request that was refused because its content crashes targets.
   void recordQuarantine() { this->Quarantined.Increment(); }
+  /// Counts one answer by which a target refused a request without the proof
+  /// that it did not run it.
+  void recordUnprovenRefusal() { this->UnprovenRefusals.Increment(); }
   /// Sets the gauge \p Name. Callers pass string literals only, so that the
   /// number of gauges is bounded.
   void setGauge(const char *Name, double Value);
@@ -60,6 +63,7 @@
   Counters &Resumptions;
   Counters &QuotaDecisions;
   prometheus::Counter &Quarantined;
+  prometheus::Counter &UnprovenRefusals;
   Histograms &RequestDurations;
   Histograms &FirstEventTimes;
   Histograms &LongestPauses;
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -18,6 +18,12 @@
 // Time after its first event for which an answer counts as just begun.
 static constexpr Duration AnswerBeginning = millis(300);
 
+// Callers take these statuses as a promise that their request has not run and
+// never will. 421 proves it by itself.
+bool RequestRelay::isUnprovenRefusal(const RelayedRequest &R) {
+  return !R.NotRun && (R.Status == 408 || R.Status == 429 || R.Status == 503);
+}
+
 // This is the last point at which an attempt can be stopped with the certainty
 // that it did not run.
 bool RequestRelay::onSending(OutboundCallId Call) {
@@ -101,6 +107,15 @@
   R->HeadReceived = true;
   R->Status = Head.Status;
   R->NotRun = Head.Status == 421 || Head.find(H.NotRun) != nullptr;
+  if (isUnprovenRefusal(*R)) {
+    this->Metrics.recordUnprovenRefusal();
+    logEvent("refusal-unproven",
+             {{"id", R->RequestId},
+              {"target", R->Target.Instance},
+              {"status", Head.Status},
+              {"stamped", Head.find(H.ServerStamp) != nullptr},
+              {"repeatable", R->MatchedRoute->repeatable()}});
+  }
   R->EndsAtClose = Head.BodyEndsAtClose;
   bool GoesOn = !R->ResponseBegun || continuesStream(*R, Head);
   R->IsEventStream =
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -425,6 +425,9 @@
   /// Whether a stream that has ended was broken off, as far as its framing does
   /// not tell.
   static bool endsWithinEvent(const RelayedRequest &R);
+  /// Whether the current answer refuses the request without the proof that it
+  /// did not run.
+  static bool isUnprovenRefusal(const RelayedRequest &R);
   /// Whether the current attempt's answer has begun and gone on for a while.
   static bool answerWellBegun(const RelayedRequest &R);
   /// Records whether the end of an attempt may be a crash that its content
