Take no refusal of a target as a promise unless it proves that it did not run

Cause: any whole answer of a target was passed on. Only Shallotlatch-Not-Executed or 421 proves that a request did not run, but 408, 429 and 503 promise it to callers.

Change: where a request may run once, such an answer ends as a 502 of the host's own, without the target's fields, stamp and body; nothing that was promised before is lost, as an answer with the proof goes elsewhere as before. Requests that may run again keep the target's answer after their tries. 408 and 429 without the proof count as failures of their target.

--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -24,6 +24,10 @@
   return !R.NotRun && (R.Status == 408 || R.Status == 429 || R.Status == 503);
 }
 
+bool RequestRelay::isFailure(const RelayedRequest &R) {
+  return R.Status >= 500 || isUnprovenRefusal(R);
+}
+
 // This is the last point at which an attempt can be stopped with the certainty
 // that it did not run.
 bool RequestRelay::onSending(OutboundCallId Call) {
@@ -381,7 +385,7 @@
                          this->retryAfterNotRun(R));
     }
   } else if (End == OutboundCallEnd::Complete) {
-    bool Error = R.Status >= 500;
+    bool Error = isFailure(R);
     this->recordCrashEvidence(R, End);
     this->recordRolloutEnd(R, RolloutEnd::Answered);
     this->releasePlace(R,
@@ -435,13 +439,19 @@
     this->fail(R, 502, "the stream could not be resumed");
     return;
   }
+  // A caller that sends its request again on an empty promise has it run twice.
+  // Fields and body belong to the target's status, so they are left behind.
+  if (isUnprovenRefusal(R) && !R.MatchedRoute->repeatable()) {
+    this->fail(R, 502, "the target refused it, but may have run it");
+    return;
+  }
   FrontendResponse Response;
   Response.Status = R.Status;
   Response.Fields = R.Fields;
   Response.Body = std::move(R.Body);
   this->Frontend.respond(R.Request.Exchange, std::move(Response));
-  this->finish(R, R.Status < 500 ? Outcome::Completed : Outcome::Failed,
-               R.Status, "");
+  this->finish(R, isFailure(R) ? Outcome::Failed : Outcome::Completed, R.Status,
+               "");
 }
 
 } // namespace shallotlatch
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -428,6 +428,8 @@
   /// Whether the current answer refuses the request without the proof that it
   /// did not run.
   static bool isUnprovenRefusal(const RelayedRequest &R);
+  /// Whether the current answer, which is whole, says that the request failed.
+  static bool isFailure(const RelayedRequest &R);
   /// Whether the current attempt's answer has begun and gone on for a while.
   static bool answerWellBegun(const RelayedRequest &R);
   /// Records whether the end of an attempt may be a crash that its content
--- a/src/relay_rollouts.cpp
+++ b/src/relay_rollouts.cpp
@@ -88,7 +88,7 @@
   RouteId Route = R.MatchedRoute->Id;
   switch (End) {
   case RolloutEnd::Answered:
-    Rollout->recordAnswer(Route, R.Target, R.Status >= 500, Elapsed, Now);
+    Rollout->recordAnswer(Route, R.Target, isFailure(R), Elapsed, Now);
     break;
   case RolloutEnd::TimedOut:
     Rollout->recordAnswer(Route, R.Target, true, Elapsed, Now);
