--- a/src/fleet_exchange.cpp
+++ b/src/fleet_exchange.cpp
@@ -298,6 +298,9 @@
 }
 
 void FleetExchange::applyFleetSize(uint32_t Heard, uint32_t Serving) {
+  if (Heard < this->HeardHosts) {
+    this->Relay.recordHostsLost();
+  }
   this->HeardHosts = std::max(1U, Heard);
   this->ServingHosts = std::max(this->HeardHosts, Serving);
   Time Now = ProcessClock::now();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -137,7 +137,7 @@
           *this->Store->records(), *this->Relay,
           Host.Host + "-" + std::to_string(this->Self.Run));
       this->Relay->setArchive(*this->Archive);
-      this->Self.KeepsRecords = true;
+      this->Self.KeepsRecords = this->Self.AnnouncesVersions = true;
     }
     this->Exchange = std::make_unique<FleetExchange>(
         this->Base, this->Self, *this->Relay, *this->Directory);
@@ -428,9 +428,10 @@
   void onHost(const FleetHost &Peer) override {
     logImportantEvent("peer", {{"name", Peer.Name},
                                {"at", Peer.At.text()},
-                               {"keeps-records", Peer.KeepsRecords}});
-    if (this->Archive && !Peer.KeepsRecords) {
-      this->Archive->recordHostWithoutRecords();
+                               {"keeps-records", Peer.KeepsRecords},
+                               {"announces", Peer.AnnouncesVersions}});
+    if (this->Archive) {
+      this->Archive->recordHost(Peer);
     }
     this->Exchange->link().setPeer(Peer, ProcessClock::now());
   }
--- a/src/placement/place_pool_p.h
+++ b/src/placement/place_pool_p.h
@@ -272,6 +272,9 @@
   /// without a new event.
   bool hasWaiting() const { return !this->Queue.empty(); }
 
+  /// Returns whether a target of this version takes new requests.
+  bool serves(SoftwareId Software) const;
+
 private:
   /// A placed request that has not ended.
   struct InFlightRequest {
@@ -433,8 +436,6 @@
   bool mayGoOnAt(const Target &T, const PlacementRequest &Request) const;
   /// Whether the target may get one more request now.
   bool usable(const Target &T, Time Now) const;
-  /// Returns whether a target of this version takes new requests.
-  bool serves(SoftwareId Software) const;
   /// Estimates cost and time of a request on a target.
   Choice estimate(Target &T, const PlacementRequest &Request, Time Now) const;
   /// Marks a target suspect and sets the time of its next probe.
--- a/src/records/record_codec.cpp
+++ b/src/records/record_codec.cpp
@@ -15,6 +15,8 @@
 static constexpr const char *ServicesField = "services";
 static constexpr const char *VersionsField = "versions";
 static constexpr const char *CompleteField = "complete";
+static constexpr const char *BaseField = "base";
+static constexpr const char *EraField = "era";
 
 static std::string encodeBase64(const std::string &Bytes) {
   std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
@@ -96,8 +98,14 @@
     for (SoftwareId Software : Item.second.Versions) {
       Ids.push_back(encodeId(Software.Value));
     }
-    Services[encodeId(Item.first.Value)] = {
-        {VersionsField, Ids}, {CompleteField, Item.second.IsComplete}};
+    json &Out = Services[encodeId(Item.first.Value)];
+    Out = {{VersionsField, Ids}, {CompleteField, Item.second.IsComplete}};
+    if (Item.second.Base.isValid()) {
+      Out[BaseField] = encodeId(Item.second.Base.Value);
+    }
+    if (Item.second.Era) {
+      Out[EraField] = *Item.second.Era;
+    }
   }
   return json{{ServicesField, Services}}.dump();
 }
@@ -111,6 +119,13 @@
       Set.Versions.insert(SoftwareId{decodeId(Software.get<std::string>())});
     }
     Set.IsComplete = Item.value().at(CompleteField).get<bool>();
+    if (Item.value().contains(BaseField)) {
+      Set.Base =
+          SoftwareId{decodeId(Item.value().at(BaseField).get<std::string>())};
+    }
+    if (Item.value().contains(EraField)) {
+      Set.Era = Item.value().at(EraField).get<uint64_t>();
+    }
   }
   return Versions;
 }
--- a/src/records/record_store_p.h
+++ b/src/records/record_store_p.h
@@ -33,6 +33,10 @@
   /// The objects of a list, or the object as a write left it.
   std::vector<StoredRecord> Records;
   bool HasMore = false; ///< The list continues after the last object.
+  /// Returns the revision of the object that a write left; 0 if it names none.
+  uint64_t revision() const {
+    return this->Records.empty() ? 0 : this->Records.front().Revision;
+  }
 };
 
 /// Backend of the records. Each function is one call of the store, which the
--- a/src/records/stream_archive.cpp
+++ b/src/records/stream_archive.cpp
@@ -29,13 +29,15 @@
 static constexpr Duration ExpiryInterval = seconds(1);
 static constexpr Duration FirstBackoff = millis(250);
 static constexpr uint32_t MaxBackoffDoublings = 4;
-// Name before that of the record of versions and after those of streams.
-static constexpr const char *AfterStreamRecords = "streams~";
+
+static bool isAnnouncement(const std::string &Name) {
+  return Name.rfind(AnnouncementPrefix, 0) == 0;
+}
 
 StreamArchive::StreamArchive(RecordStore &Store, StreamArchiveEvents &Events,
                              const std::string &Owner)
     : Store(Store), Events(Events), Seed(hash64(Owner)),
-      Journal(StreamRecordPrefix + Owner + "-") {}
+      Journal(StreamRecordPrefix + Owner + "-"), Announcer(Owner) {}
 
 bool StreamArchive::isTrusted() const {
   return this->AllHostsKeepRecords && this->View.EraSettled &&
@@ -81,6 +83,15 @@
     if (this->Role.Writes) {
       this->tickWrites(Known);
     }
+    if (this->WantsBases && Next.HasTargets &&
+        CurrentTime >= this->NextBasesReadAt) {
+      this->readBases();
+    }
+    std::optional<StoredRecord> Announcement =
+        this->Announcer.takeWrite(CurrentTime);
+    if (Announcement) {
+      this->writeAnnouncement(*Announcement);
+    }
     this->tickCleaning();
   }
 }
@@ -90,6 +101,8 @@
   ++this->WriteEpoch;
   this->Journal.onStoreReturned();
   this->Ledger.onStoreReturned();
+  this->Announcer.onStoreReturned();
+  this->NextBasesReadAt = Time();
   this->Seen.clear();
   this->Cleaning.InFlight = false;
 }
@@ -122,6 +135,8 @@
     this->Read.StartedAt = this->Now;
     this->Shown = 0;
     this->Found.clear();
+    this->Announced.clear();
+    this->Recorded.clear();
     this->readPage("");
   }
 }
@@ -163,8 +178,15 @@
 void StreamArchive::readRecord(const StoredRecord &Record) {
   try {
     if (Record.Name == VersionRecordName) {
-      this->Events.onVersionsRead(decodeVersions(Record.Content),
-                                  this->isTrusted());
+      this->Recorded = decodeVersions(Record.Content);
+      this->reportVersions(this->Recorded);
+    } else if (isAnnouncement(Record.Name)) {
+      for (const auto &Item : decodeVersions(Record.Content)) {
+        if (!this->Announcer.isOwn(Record.Name)) {
+          this->Announced[Item.first].insert(Item.second.Versions.begin(),
+                                             Item.second.Versions.end());
+        }
+      }
     } else {
       for (const StreamNote &Note : decodeStreamRecord(Record.Content)) {
         this->collect(Note);
@@ -201,6 +223,14 @@
       Streams.push_back({Item.first, Item.second});
     }
     this->Events.onStreamsRead(Streams);
+    std::map<ServiceId, SoftwareId> Unrecorded;
+    for (const auto &Item : this->Recorded) {
+      SoftwareId Software = this->unrecordedVersion(Item.first, Item.second);
+      if (Software.isValid()) {
+        Unrecorded[Item.first] = Software;
+      }
+    }
+    this->Events.onUnrecordedVersions(Unrecorded);
     this->Events.onRecordsRead(this->Read.StartedAt);
   } else {
     this->Events.onRecordsUnread();
@@ -226,6 +256,7 @@
   }
   KnownVersions Trusting = Known;
   Trusting.TrustsRecord = this->isTrusted();
+  Trusting.Era = this->View.Era;
   std::optional<StoredRecord> Versions =
       this->Ledger.takeWrite(Trusting, this->Now);
   if (Versions) {
@@ -233,64 +264,6 @@
   }
 }
 
-void StreamArchive::readVersions() {
-  ++this->Counts.Reads;
-  this->Ledger.onReadStarted();
-  auto Done = [this, Epoch = this->WriteEpoch](RecordReply &&Reply) {
-    if (Epoch != this->WriteEpoch) {
-      return;
-    }
-    if (Reply.Result != RecordReply::Status::Ok) {
-      this->Ledger.onRefused(this->retryAt());
-      return;
-    }
-    this->FailuresInARow = 0;
-    std::optional<StoredRecord> Found;
-    for (StoredRecord &Record : Reply.Records) {
-      if (Record.Name == VersionRecordName) {
-        Found = std::move(Record);
-      }
-    }
-    this->Ledger.onRead(Found);
-    this->Events.onVersionsRead(this->Ledger.stored(), this->isTrusted());
-  };
-  this->Store.listRecords(AfterStreamRecords, ReadConsistency::Linearizable,
-                          Done);
-}
-
-static uint64_t revisionIn(const RecordReply &Reply) {
-  return Reply.Records.empty() ? 0 : Reply.Records.front().Revision;
-}
-
-void StreamArchive::writeVersions(const StoredRecord &Record) {
-  ++this->Counts.Writes;
-  auto Done = [this, Epoch = this->WriteEpoch,
-               Content = Record.Content](RecordReply &&Reply) {
-    logImportantEvent("version-record",
-                      {{"done", Reply.Result == RecordReply::Status::Ok},
-                       {"content", Content}});
-    if (Epoch != this->WriteEpoch) {
-      return;
-    }
-    switch (Reply.Result) {
-    case RecordReply::Status::Ok:
-      this->FailuresInARow = 0;
-      this->Ledger.onWritten(revisionIn(Reply));
-      break;
-    case RecordReply::Status::Conflict:
-      this->Ledger.onUncertain(this->Now);
-      break;
-    case RecordReply::Status::Refused:
-      this->Ledger.onRefused(this->retryAt());
-      break;
-    case RecordReply::Status::Failed:
-      this->Ledger.onUncertain(this->retryAt());
-      break;
-    }
-  };
-  this->Store.writeRecord(Record, Done);
-}
-
 void StreamArchive::writeStreams(const StoredRecord &Record) {
   ++this->Counts.Writes;
   logEvent("stream-record", {{"name", Record.Name},
@@ -303,7 +276,7 @@
     switch (Reply.Result) {
     case RecordReply::Status::Ok:
       this->FailuresInARow = 0;
-      this->Journal.onWritten(revisionIn(Reply));
+      this->Journal.onWritten(Reply.revision());
       break;
     case RecordReply::Status::Conflict:
       this->Journal.onUncertain(this->Now);
@@ -365,7 +338,10 @@
     SeenRecord &S = this->Seen[Record.Name];
     if (S.Revision != Record.Revision) {
       S = {Record.Revision, this->Now};
-    } else if (this->Now - S.At > this->View.StreamLife) {
+    } else if (this->Now - S.At >
+               this->View.StreamLife + (isAnnouncement(Record.Name)
+                                            ? AnnouncementLife
+                                            : Duration(0))) {
       Ended.push_back(Record);
     }
   }
--- a/src/records/stream_archive_p.h
+++ b/src/records/stream_archive_p.h
@@ -6,6 +6,7 @@
 
 #include "record_store_p.h"
 #include "stream_journal_p.h"
+#include "version_announcer_p.h"
 #include "version_ledger_p.h"
 
 #include <map>
@@ -32,6 +33,14 @@
   /// a stream may have begun.
   virtual void onVersionsRead(const ServiceVersions &Versions,
                               bool IsTrusted) = 0;
+  /// \p Bases: the base versions of the services as the record of versions
+  /// tells them, invalid for a service that has none. Services that may get one
+  /// are left out.
+  virtual void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) = 0;
+  /// \p Versions: those at which streams began that are in no record, as far as
+  /// all records together tell. Comes before \p onRecordsRead.
+  virtual void
+  onUnrecordedVersions(const std::map<ServiceId, SoftwareId> &Versions) = 0;
   /// All records that were in the store at \p ReadAt have been reported.
   virtual void onRecordsRead(Time ReadAt) = 0;
   /// The store did not answer the call that was asked for.
@@ -85,9 +94,15 @@
   /// Reads all records to find \p Stream. `onRecordsRead` or `onRecordsUnread`
   /// follows.
   void requestRead(StreamId Stream, Time Now);
-  /// Records that a host of a release serves that keeps no records. What the
-  /// records say of versions is not complete then.
-  void recordHostWithoutRecords() { this->AllHostsKeepRecords = false; }
+  /// Records that a host serves. One of a release that keeps no records, or
+  /// does not announce versions, ends what the records say without them.
+  void recordHost(const FleetHost &Host) {
+    this->AllHostsKeepRecords &= Host.KeepsRecords;
+    this->AllHostsAnnounce &= Host.AnnouncesVersions;
+  }
+  VersionAnnouncer &announcer() { return this->Announcer; }
+  /// Has the record of versions read.
+  void requestBases() { this->WantsBases = true; }
   /// Returns the time until the record of versions can be trusted; 0 if it can.
   Duration untilTrusted(Time Now) const;
   void tick(const ArchiveView &View, const KnownVersions &Known, Time Now);
@@ -116,6 +131,13 @@
   void endRead(bool Complete);
   void tickWrites(const KnownVersions &Known);
   void readVersions();
+  void readBases();
+  void reportVersions(const ServiceVersions &Versions);
+  void reportBases(const ServiceVersions &Versions);
+  /// Returns the version at which streams of a service began that are in no
+  /// record; invalid if that is not known.
+  SoftwareId unrecordedVersion(ServiceId Service, const VersionSet &Set) const;
+  void writeAnnouncement(const StoredRecord &Record);
   void writeVersions(const StoredRecord &Record);
   void writeStreams(const StoredRecord &Record);
   void tickCleaning();
@@ -131,11 +153,15 @@
   ArchiveRole Role;
   ArchiveView View;
   bool AllHostsKeepRecords = true;
+  bool AllHostsAnnounce = true;
+  bool WantsBases = false;
+  Time NextBasesReadAt;
   /// Time from which the list of targets is known to be whole, as far as those
   /// are concerned whose entries lapsed; none before all were listed.
   std::optional<Time> SettledAt;
   StreamJournal Journal;
   VersionLedger Ledger;
+  VersionAnnouncer Announcer;
   ListCall Read;
   std::unordered_set<StreamId> Wanted; ///< To be found by the next read.
   std::unordered_set<StreamId> Sought; ///< By the read that is under way.
@@ -143,6 +169,10 @@
   size_t Shown = 0; ///< Streams in the records read so far.
   /// Those of them that are reported at the end of the read.
   std::unordered_map<StreamId, SoftwareId> Found;
+  /// Versions that other processes announced, and what the record of versions
+  /// says, in the records read so far.
+  std::map<ServiceId, std::set<SoftwareId>> Announced;
+  ServiceVersions Recorded;
   ListCall Cleaning;
   Time NextCleaningAt;
   std::map<std::string, SeenRecord> Seen;
--- a/src/records/version_ledger.cpp
+++ b/src/records/version_ledger.cpp
@@ -29,6 +29,11 @@
 // as streams last. Others add what they see, and leave the rest to those.
 ServiceVersions VersionLedger::target(const KnownVersions &Known) const {
   ServiceVersions Target = Known.Services;
+  for (auto &Item : Target) {
+    if (Item.second.IsComplete) {
+      Item.second.Era = Known.Era;
+    }
+  }
   for (const auto &Item : this->Stored) {
     auto Own = Target.find(Item.first);
     if (Own == Target.end()) {
@@ -39,6 +44,14 @@
       Own->second.Versions.insert(Item.second.Versions.begin(),
                                   Item.second.Versions.end());
       Own->second.IsComplete = Item.second.IsComplete && Known.TrustsRecord;
+      Own->second.Era = Item.second.Era;
+    }
+    // The record alone says which version was the only one before the others
+    // entered, since it is written conditionally.
+    if (Own != Target.end() && Own->second.Versions.size() > 1) {
+      SoftwareId Base = Item.second.baseIn(Known.Era);
+      bool Serves = Own->second.Versions.count(Base) != 0;
+      Own->second.Base = Serves ? Base : SoftwareId();
     }
   }
   return Target;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -34,7 +34,8 @@
       Doubts(Init.Crashes.DeathWindow),
       Rollouts(Init.Rollouts ? std::make_unique<FleetRollouts>(*Init.Rollouts)
                              : nullptr),
-      Origins(ProcessClock::now()),
+      Origins(ProcessClock::now()), Openings(ProcessClock::now()),
+      StartedAt(ProcessClock::now()),
       PlacementSendEvent(event_new(
           Base, -1, 0,
           [](evutil_socket_t, short, void *Self) {
@@ -278,12 +279,16 @@
   Placement.RefusedBefore = R.PriorAttemptTime.count() > 0;
   Placement.Repeatable = R.MatchedRoute->repeatable();
   Placement.Stream = R.MatchedRoute->Kind == RouteKind::Stream;
-  Placement.Software = R.Software;
+  Placement.Software = R.Software.isValid() ? R.Software : R.BeginsAt;
   Placement.Tried = R.Tried;
   return Placement;
 }
 
 void RequestRelay::place(RelayedRequest &R) {
+  if (!this->bindToOpenVersion(R)) {
+    this->awaitOpening(R);
+    return;
+  }
   this->service(R.Service).Places->enqueue(placementOf(R), ProcessClock::now());
   this->dispatch(R.Service);
 }
@@ -297,6 +302,10 @@
     if (R == nullptr) {
       continue;
     }
+    if (Refusal.Why == RefusalReason::NoVersion && R->BeginsAt.isValid()) {
+      this->awaitOpening(*R);
+      continue;
+    }
     ServiceSchedulerStats Pool = this->service(Id).Places->scheduler().stats();
     logEvent("not-placed", {{"id", R->RequestId},
                             {"why", name(Refusal.Why)},
--- a/src/relay_answers.cpp
+++ b/src/relay_answers.cpp
@@ -53,8 +53,11 @@
   // The owner may not know yet that the run is in doubt.
   R->RunInDoubt = this->Doubts.inDoubt(R->Target.shortIdentity());
   Usable = Usable && !(R->RunInDoubt && R->Software.isValid());
+  // A version may have entered since the request was placed.
+  bool Closed = beginsStream(*R) &&
+                !this->mayBeginAt(R->Service, softwareId(R->Target.Software));
   bool Late = !this->canAwaitAnswer(*R, Now);
-  if (Trusted && Usable && !Quarantined && !Noticed && !Late) {
+  if (Trusted && Usable && !Closed && !Quarantined && !Noticed && !Late) {
     R->AttemptSent = true;
     R->EverSent = true;
     ++R->Attempts;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -17,6 +17,7 @@
 #include "stream_archive_p.h"
 #include "stream_search_p.h"
 #include "target_paths_p.h"
+#include "version_openings_p.h"
 #include "wire_client_p.h"
 
 #include "shallotlatch/verdict.h"
@@ -117,6 +118,8 @@
   ServiceSchedulerStats poolStats() const;
   void peerUse(HostId Peer, const std::vector<TargetUse> &Uses);
   void forgetPeer(HostId Peer);
+  /// Records that hosts of the fleet fell silent.
+  void recordHostsLost();
   /// Sets the host that places requests for this host's failure domain. An
   /// invalid id means that there is none.
   void setOwner(HostId Owner);
@@ -135,6 +138,9 @@
   void onVersionsRead(const ServiceVersions &Versions, bool IsTrusted) override;
   void onRecordsRead(Time ReadAt) override;
   void onRecordsUnread() override;
+  void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) override;
+  void onUnrecordedVersions(
+      const std::map<ServiceId, SoftwareId> &Versions) override;
   void receive(const PlacementReport &Book);
   void receive(const PlacementReply &Reply);
   std::vector<TargetUse> ownUse() const;
@@ -298,6 +304,8 @@
     /// Version of the targets' software that began the stream; invalid until
     /// its first event, or until it is known for one that goes on.
     SoftwareId Software;
+    /// Version at which the stream has to begin; invalid: any.
+    SoftwareId BeginsAt;
     uint32_t EventCount = 0;
     uint32_t AttemptEvents = 0; ///< Events of the current attempt.
     uint32_t AttemptIds = 0;    ///< Of them, those with an id.
@@ -342,6 +350,20 @@
   /// Records the version that a stream began at or goes on at.
   void recordStream(RelayedRequest &R, Time Now);
   void placeOnceOriginIsKnown(RelayedRequest &R);
+  /// Whether the request begins a stream that may go on elsewhere.
+  static bool beginsStream(const RelayedRequest &R);
+  /// Whether streams may begin at the version.
+  bool mayBeginAt(ServiceId Service, SoftwareId Software);
+  /// Limits a stream to a version at which it may begin. Returns false if there
+  /// is none yet.
+  bool bindToOpenVersion(RelayedRequest &R);
+  void awaitOpening(const RelayedRequest &R);
+  /// Announces versions that are due.
+  void tickOpenings(Time Now);
+  void retryAwaitingOpening(Time Now);
+  /// Places a request by what the records that were just read say of streams
+  /// that they do not hold. Returns false if they say nothing.
+  bool concludeUnrecorded(PlacementId Id);
   VersionView versionView(ServiceId Service) const;
   /// Goes on with the search for the version of the request's stream: ends it,
   /// or asks the store to confirm this host's view.
@@ -473,6 +495,13 @@
   Time NextRunCheck;
   std::unique_ptr<FleetRollouts> Rollouts; ///< nullptr: turned off.
   StreamOrigins Origins;
+  VersionOpenings Openings;
+  /// Requests that wait for a version to begin at, and since when.
+  std::map<PlacementId, Time> AwaitingOpening;
+  /// See `StreamArchiveEvents::onUnrecordedVersions`, of the last read.
+  std::map<ServiceId, SoftwareId> UnrecordedVersions;
+  uint64_t LastEra = 0; ///< Of the store; 0: not known yet.
+  Time StartedAt;
   /// Requests that wait for the versions that began their streams.
   std::unordered_map<PlacementId, StreamSearch> Searches;
   std::vector<HistoryAsk> HistoryAsks; ///< Questions that wait for the store.
--- a/src/relay_records.cpp
+++ b/src/relay_records.cpp
@@ -35,6 +35,10 @@
   View.Era = this->StoreView.storeEra();
   View.EraSettled = this->StoreView.eraSettled(Now);
   View.StreamLife = this->longestStreamLife();
+  if (this->LastEra != 0 && View.Era != this->LastEra) {
+    this->Origins.forgetBases();
+  }
+  this->LastEra = View.Era;
   this->Archive->tick(
       View,
       this->Origins.knownVersions(this->StreamServices, ProcessClock::now()),
@@ -91,12 +95,29 @@
       this->continueSearch(Id);
     } else if (this->Origins.soleVersion(R->Service, ProcessClock::now())) {
       this->searchView(Id);
+    } else if (ReadAt && this->concludeUnrecorded(Id)) {
+      continue;
     } else {
       this->concludeSearch(Id, false);
     }
   }
 }
 
+// The records hold all streams that began at versions other than the base
+// version, or nobody has begun one.
+bool RequestRelay::concludeUnrecorded(PlacementId Id) {
+  auto It = this->Searches.find(Id);
+  RelayedRequest *R = this->find(Id);
+  auto Base = this->UnrecordedVersions.find(R->Service);
+  if (Base == this->UnrecordedVersions.end() ||
+      !It->second.agreesOn(Base->second)) {
+    return false;
+  }
+  this->Searches.erase(It);
+  this->placeWithOrigin(*R, Base->second, "base");
+  return true;
+}
+
 // A host that has just started trusts the record of versions after a while.
 Duration RequestRelay::untilOriginKnown(ServiceId Service) const {
   Time Now = ProcessClock::now();
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -49,7 +49,9 @@
   for (PlacementId Id : Open) {
     this->continueSearch(Id);
   }
+  this->tickOpenings(Now);
   this->tickArchive();
+  this->retryAwaitingOpening(Now);
 }
 
 StreamId RequestRelay::streamOf(const RelayedRequest &R) {
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -142,6 +142,9 @@
   uint64_t SettledEra = 0;
   /// The host writes the versions that it sees into the store's record.
   bool KeepsRecords = false;
+  /// The host begins streams only at versions that it may use unannounced, or
+  /// has announced in the store.
+  bool AnnouncesVersions = false;
 };
 
 /// Returns the id of a service, a hash of its name.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -59,21 +59,47 @@
   }
 }
 
+SoftwareId VersionSet::baseIn(uint64_t CurrentEra) const {
+  if (this->Era != CurrentEra) {
+    return SoftwareId();
+  }
+  return this->IsComplete && this->Versions.size() == 1
+             ? *this->Versions.begin()
+             : this->Base;
+}
+
+// A version that was the only one becomes the base version of the others.
+void StreamOrigins::addVersion(ServiceId Service, SoftwareId Software,
+                               Time Until, Time Now) {
+  std::optional<SoftwareId> Sole = this->soleVersion(Service, Now);
+  ServiceHistory &History = this->Histories[Service];
+  if (Sole && *Sole != Software) {
+    History.Base = Sole;
+  } else if (History.Versions.size() == 1 &&
+             History.Versions.count(Software) == 0) {
+    History.Base.reset();
+    History.BaseWasRead = false;
+  }
+  extend(History.Versions[Software], Until);
+  History.SeenAt.try_emplace(Software, Now);
+}
+
 void StreamOrigins::recordServing(ServiceId Service, SoftwareId Software,
                                   Time Now) {
-  extend(this->Histories[Service].Versions[Software], this->lifeEnd(Now));
+  this->addVersion(Service, Software, this->lifeEnd(Now), Now);
 }
 
 void StreamOrigins::recordBegun(ServiceId Service, StreamId Stream,
                                 SoftwareId Software, Time Until, Time Now) {
   extend(this->EarlierLifeEnd, Until);
-  extend(this->Histories[Service].Versions[Software], Until);
+  this->addVersion(Service, Software, Until, Now);
   if (this->Known.size() >= MaxKnown) {
     return;
   }
   Entry &E = this->Known[Stream];
   E.Software = Software;
   E.Service = Service;
+  E.Began = Now;
   extend(E.Until, std::max(Until, Now + this->Life.value_or(UnconfiguredLife)));
   this->Unsent.push_back(Stream);
 }
@@ -119,7 +145,7 @@
       if (historyId(Item.first) == Answer.Stream) {
         Learned += Item.second.Vouched ? 0 : 1;
         Item.second.Vouched = true;
-        extend(Item.second.Versions[Answer.Software], this->lifeEnd(Now));
+        this->addVersion(Item.first, Answer.Software, this->lifeEnd(Now), Now);
       }
     }
   }
@@ -172,7 +198,9 @@
   for (const auto &Item : Recorded) {
     ServiceHistory &History = this->Histories[Item.first];
     for (SoftwareId Software : Item.second.Versions) {
-      History.Versions.try_emplace(Software, this->lifeEnd(Now));
+      if (History.Versions.count(Software) == 0) {
+        this->addVersion(Item.first, Software, this->lifeEnd(Now), Now);
+      }
     }
     History.Vouched |= IsTrusted && Item.second.IsComplete;
   }
@@ -187,6 +215,62 @@
   this->HistoryAskInterval = Duration(0);
 }
 
+void StreamOrigins::setBases(const std::map<ServiceId, SoftwareId> &Bases) {
+  for (auto &Item : this->Histories) {
+    auto It = Bases.find(Item.first);
+    Item.second.BaseWasRead = true;
+    if (It != Bases.end()) {
+      Item.second.Base = It->second;
+    }
+  }
+}
+
+bool StreamOrigins::isBaseIndefinite(ServiceId Service) const {
+  auto It = this->Histories.find(Service);
+  return It != this->Histories.end() && !It->second.Base &&
+         It->second.BaseWasRead;
+}
+
+void StreamOrigins::forgetBases() {
+  for (auto &Item : this->Histories) {
+    Item.second.Base.reset();
+    Item.second.BaseWasRead = false;
+  }
+}
+
+std::optional<SoftwareId> StreamOrigins::base(ServiceId Service,
+                                              Time Now) const {
+  std::optional<SoftwareId> Sole = this->soleVersion(Service, Now);
+  auto It = this->Histories.find(Service);
+  return Sole || It == this->Histories.end() ? Sole : It->second.Base;
+}
+
+bool StreamOrigins::needsBases(const std::set<ServiceId> &Services,
+                               Time Now) const {
+  return std::any_of(
+      Services.begin(), Services.end(), [this, Now](ServiceId Service) {
+        return this->versions(Service) > 0 && !this->base(Service, Now) &&
+               !this->isBaseIndefinite(Service);
+      });
+}
+
+const std::map<SoftwareId, Time> &
+StreamOrigins::versionsSeen(ServiceId Service) const {
+  static const std::map<SoftwareId, Time> None;
+  auto It = this->Histories.find(Service);
+  return It == this->Histories.end() ? None : It->second.SeenAt;
+}
+
+Time StreamOrigins::oldestUntold(ServiceId Service) const {
+  for (StreamId Stream : this->Unsent) {
+    auto It = this->Known.find(Stream);
+    if (It != this->Known.end() && It->second.Service == Service) {
+      return It->second.Began;
+    }
+  }
+  return Time::max();
+}
+
 std::optional<SoftwareId> StreamOrigins::find(StreamId Stream) const {
   auto It = this->Known.find(Stream);
   return It == this->Known.end() ? std::nullopt
@@ -273,8 +357,16 @@
     for (auto It = Versions.begin(); It != Versions.end();) {
       // The newest stays, so that a service without targets keeps its version.
       bool Old = Now > It->second && It->second < Newest;
+      if (Old) {
+        Item.second.SeenAt.erase(It->first);
+      }
       It = Old ? Versions.erase(It) : std::next(It);
     }
+    // A base version without streams tells nothing of those that are unknown.
+    std::optional<SoftwareId> &Base = Item.second.Base;
+    if (Base && Base->isValid() && Versions.count(*Base) == 0) {
+      Base = SoftwareId();
+    }
   }
 }
 
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -62,10 +62,20 @@
 struct VersionSet {
   std::set<SoftwareId> Versions;
   bool IsComplete = false; ///< There are no others.
+  /// While there are several: the version at which every process begins streams
+  /// that has not announced others; invalid if there is none.
+  SoftwareId Base;
+  /// Era of the store in which the base version was the only one; nothing from
+  /// earlier releases.
+  std::optional<uint64_t> Era;
   bool operator==(const VersionSet &Other) const {
     return this->Versions == Other.Versions &&
-           this->IsComplete == Other.IsComplete;
+           this->IsComplete == Other.IsComplete && this->Base == Other.Base &&
+           this->Era == Other.Era;
   }
+  /// Returns the base version as the store's record tells it in \p CurrentEra;
+  /// invalid if it tells none.
+  SoftwareId baseIn(uint64_t CurrentEra) const;
 };
 using ServiceVersions = std::map<ServiceId, VersionSet>;
 
@@ -76,6 +86,7 @@
   bool CoversAllServices = false;
   /// What the store's record marks as complete is.
   bool TrustsRecord = false;
+  uint64_t Era = 0; ///< Of the store.
 };
 
 /// Keeps the versions that began streams lately, the own ones and those that
@@ -118,6 +129,25 @@
   void mergeVersions(const ServiceVersions &Recorded, bool IsTrusted, Time Now);
   /// Records that targets may have served up to \p Now that were not recorded.
   void recordGap(Time Now);
+  /// Records the base versions that the store's record tells: invalid ones for
+  /// services that have none, and nothing for those that it may get later.
+  void setBases(const std::map<ServiceId, SoftwareId> &Bases);
+  /// Forgets the base versions, since the store may have lost announcements.
+  void forgetBases();
+  /// Returns the base version of \p Service, invalid if there is none; nothing
+  /// while this process does not know.
+  std::optional<SoftwareId> base(ServiceId Service, Time Now) const;
+  /// Returns whether the store's record tells no base version of \p Service and
+  /// may tell one later.
+  bool isBaseIndefinite(ServiceId Service) const;
+  /// Returns whether the base version of some service has to be read.
+  bool needsBases(const std::set<ServiceId> &Services, Time Now) const;
+  /// Returns the other versions of \p Service at which streams may begin, each
+  /// with the time at which it was first seen.
+  const std::map<SoftwareId, Time> &versionsSeen(ServiceId Service) const;
+  /// Returns the time since which no own stream of \p Service has waited to be
+  /// told to peers; the latest time there is if none waits.
+  Time oldestUntold(ServiceId Service) const;
   std::optional<SoftwareId> find(StreamId Stream) const;
   /// Returns the version at which every stream of \p Service must have begun
   /// that can still go on, or nothing if it may be one of several.
@@ -141,16 +171,23 @@
     SoftwareId Software;
     ServiceId Service; ///< Invalid if a peer told it.
     Time Until;        ///< No attempt goes on with the stream later.
+    Time Began;        ///< At this host.
   };
   /// What is known of the versions of one service.
   struct ServiceHistory {
     /// Versions that served, and the time after which no stream goes on that
     /// began at them.
     std::map<SoftwareId, Time> Versions;
+    std::map<SoftwareId, Time> SeenAt; ///< Of each of `Versions`.
+    /// See `VersionSet::Base`; nothing: not known.
+    std::optional<SoftwareId> Base;
+    bool BaseWasRead = false; ///< Since several versions serve.
     /// `Versions` covers the time before this process started, since a peer
     /// knew of one version alone or the store's record names them.
     bool Vouched = false;
   };
+  /// Records that streams may have begun at a version and go on until then.
+  void addVersion(ServiceId Service, SoftwareId Software, Time Until, Time Now);
   /// Returns the time after which no stream goes on that has begun by now.
   Time lifeEnd(Time Now) const;
 
--- a/src/stream_search.cpp
+++ b/src/stream_search.cpp
@@ -41,6 +41,10 @@
   return this->VersionsDiffer || this->Guesses.size() > 1 || Own.Versions > 1;
 }
 
+bool StreamSearch::agreesOn(SoftwareId Software) const {
+  return this->Guesses.size() == this->Guesses.count(Software);
+}
+
 // Where the store is silent or this host knows too little of the time before
 // its start, most of the peers have to have seen the same single version. Hosts
 // that are cut off together are fewer, or do not know it.
--- a/src/stream_search_p.h
+++ b/src/stream_search_p.h
@@ -64,6 +64,8 @@
   /// Returns whether several versions may have begun the stream, whatever the
   /// store says.
   bool isUndecidable(const VersionView &Own) const;
+  /// Returns whether no peer guesses another version than \p Software.
+  bool agreesOn(SoftwareId Software) const;
   /// Returns the version that began the stream, or nothing if it may be one of
   /// several. \p Confirmed: the store confirmed the view since `awaitView`.
   std::optional<SoftwareId> conclude(const VersionView &Own,
--- a/tests/record_fleet.h
+++ b/tests/record_fleet.h
@@ -100,8 +100,18 @@
                       bool IsTrusted) override {
     this->Origins.mergeVersions(Versions, IsTrusted, this->Now);
   }
-  void onRecordsRead(Time) override { ++this->WholeReads; }
+  void onRecordsRead(Time At) override {
+    ++this->WholeReads;
+    this->ReadAt = At;
+  }
   void onRecordsUnread() override {}
+  void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) override {
+    this->Origins.setBases(Bases);
+  }
+  void onUnrecordedVersions(
+      const std::map<ServiceId, SoftwareId> &Versions) override {
+    this->Unrecorded = Versions;
+  }
 
   void tick(Time Next, bool Reachable = true) {
     this->Now = Next;
@@ -117,11 +127,14 @@
   }
 
   std::shared_ptr<FakeRecordStore> Store;
+  /// Versions of streams that no record holds, as of the last read.
+  std::map<ServiceId, SoftwareId> Unrecorded;
   Time Now;
   StreamOrigins Origins;
   StreamArchive Archive;
   std::set<ServiceId> Services;
   int WholeReads = 0;
+  Time ReadAt; ///< Beginning of the last whole read.
 
 private:
   /// Drops replies to a process that has ended.
--- a/tests/test_lost_hosts.cpp
+++ b/tests/test_lost_hosts.cpp
@@ -149,3 +149,64 @@
   killAll(*World);
   checkAllGoOn({0, 1, 2, 3, 4, 5, 6, 7});
 }
+
+// Guards against streams that nobody can take up once a version enters that
+// did not serve before.
+TEST(LostHosts, streamsGoOnThoughAnotherVersionEntersAfterTheKill) {
+  start({"v1"});
+  begin({0, 3, 6});
+  for (uint32_t Host : {0U, 3U, 6U}) {
+    World->killHost(Host);
+  }
+  World->runFor(millis(200));
+  World->showTarget(World->startTarget("v2"), {0});
+  World->runFor(millis(800));
+  checkAllGoOn({1, 2, 4, 5, 7});
+}
+
+// Guards against the same where the new version is seen by nobody who knew the
+// time before.
+TEST(LostHosts, streamsGoOnThoughAnotherVersionEntersBeforeAllStartAgain) {
+  start({"v1"});
+  begin({0, 3, 6});
+  for (uint32_t Host = 0; Host < HostCount; ++Host) {
+    World->killHost(Host);
+  }
+  World->showTarget(World->startTarget("v2"), {0});
+  for (uint32_t Host = 0; Host < HostCount; ++Host) {
+    World->startHost(Host);
+  }
+  World->runFor(InTouchAfter);
+  checkAllGoOn({0, 1, 2, 3, 4, 5, 6, 7});
+}
+
+// Guards against streams of the new version that go on at the old one: they
+// begin as soon as it is used, at hosts that are killed at once.
+TEST(LostHosts, streamsOfAVersionThatHasEnteredNeverGoOnAtTheOldOne) {
+  start({"v1"});
+  uint32_t Newer = World->startTarget("v2");
+  World->showTarget(Newer, {0});
+  size_t AtNewer = 0;
+  for (int I = 0; I < 100 && AtNewer < 3; ++I) {
+    for (uint32_t Host : {0U, 3U, 6U}) {
+      for (const auto &S : World->beginStreams(Host, 2)) {
+        AtNewer += World->softwareOf(*S) == "v2" ? 1 : 0;
+        Old.push_back(S);
+      }
+    }
+  }
+  CHECK(AtNewer >= 3);
+  for (uint32_t Host : {0U, 3U, 6U}) {
+    World->killHost(Host);
+  }
+  World->runFor(seconds(1));
+  for (size_t I = 0; I < Old.size(); ++I) {
+    New.push_back(World->takeUp(I % 2 == 0 ? 1 : 4, *Old[I]));
+  }
+  World->awaitAnswers(New);
+  for (size_t I = 0; I < Old.size(); ++I) {
+    bool Joins = New[I]->hasEvent() &&
+                 World->softwareOf(*New[I]) != World->softwareOf(*Old[I]);
+    CHECK_FALSE(Joins);
+  }
+}
--- a/tests/test_stream_archive.cpp
+++ b/tests/test_stream_archive.cpp
@@ -278,7 +278,7 @@
   pass(seconds(30), {V1});
   Hosts.clear();
   RecordHost &H = start("i");
-  H.Archive.recordHostWithoutRecords();
+  H.Archive.recordHost(FleetHost());
   pass(seconds(6), {V1});
   CHECK_FALSE(H.Origins.soleVersion(Engines, Now).has_value());
   CHECK_FALSE(recorded()[Engines].IsComplete);
