--- a/tests/entry_fleet.h
+++ b/tests/entry_fleet.h
@@ -21,6 +21,9 @@
   size_t KilledLater = 0;
   Duration KilledLaterAfter = millis(300); ///< Their first stream there.
   bool StartsAgain = false; ///< Killed hosts start again a second later.
+  /// Instead of all above: versions come and go, hosts are killed and start
+  /// again, and the store fails in all its ways for so long.
+  Duration RandomFor{0};
   uint64_t Seed = 1;
 };
 
@@ -46,10 +49,17 @@
   EntryCounts run();
 
 private:
+  /// A version of the targets and the time in which it serves.
+  struct ServingVersion {
+    SoftwareId Software;
+    Time From;
+    Time Until = Time::max();
+  };
   struct Host {
     std::unique_ptr<RecordHost> Process; ///< Empty while it is killed.
     std::unique_ptr<VersionOpenings> Openings;
     Duration Lag{0}; ///< After which it sees a change of the targets.
+    uint64_t Era = 0;
     int Starts = 0;
   };
   struct Stream {
@@ -80,6 +90,12 @@
   void tell(size_t Index);
   void announce(Host &H);
   bool mayBegin(Host &H, SoftwareId Software);
+  /// Returns the versions that the host sees serving.
+  std::vector<SoftwareId> seenBy(const Host &H) const;
+  bool serves(SoftwareId Software) const;
+  EntryCounts runRandomly();
+  void changeVersions();
+  void failStore();
   void continueReturns(EntryCounts &Counts);
   /// Returns whether the attempt has ended.
   bool tryReturn(Return &R, EntryCounts &Counts);
@@ -92,6 +108,7 @@
   std::vector<Stream> Streams;
   std::vector<Return> Returns;
   Time Now{seconds(1000)};
+  std::vector<ServingVersion> Versions;
   Time EntersAt = Time::max();
   Time FirstAtNew = Time::max();
   Time LossNoticedAt = Time::max();
--- a/tests/test_version_entry.cpp
+++ b/tests/test_version_entry.cpp
@@ -121,6 +121,27 @@
   }
 }
 
+// Guards against streams that go on at another version after any series of
+// entries, departures, losses of hosts and failures of the store. SEEDS and
+// FIRST_SEED in the environment ask for other days.
+TEST(VersionEntryReplay, streamsGoOnAtTheirVersionsThroughRandomDays) {
+  const char *Seeds = getenv("SEEDS");
+  const char *First = getenv("FIRST_SEED");
+  uint64_t From = First == nullptr ? 1 : strtoull(First, nullptr, 10);
+  uint64_t Count = Seeds == nullptr ? 10 : strtoull(Seeds, nullptr, 10);
+  int GoOn = 0;
+  for (uint64_t Seed = From; Seed < From + Count; ++Seed) {
+    EntryPlan Plan;
+    Plan.RandomFor = seconds(150);
+    Plan.Seed = Seed;
+    EntryCounts C = EntryFleet(Plan).run();
+    std::string Run = describe(Plan, C);
+    CHECK_TEXT(C.Wrong <= 2, Run.c_str());
+    GoOn += C.GoOn;
+  }
+  CHECK(GoOn > 0);
+}
+
 TEST_GROUP(VersionAnnouncements) {
   std::shared_ptr<FakeRecordStore> Store = std::make_shared<FakeRecordStore>(7);
   Time Now{seconds(1000)};
