Tests: a condition that has held is not evaluated once more

The logs show a stream at the new version 6.2 s after its entry; then VersionWorld::runUntil evaluated its condition again for the result, which begins two more streams, and both began at the former version. The condition is now evaluated once a step and its result is returned, so the check is the same.

--- a/tests/version_world.cpp
+++ b/tests/version_world.cpp
@@ -198,10 +198,12 @@
 
 bool VersionWorld::runUntil(const std::function<bool()> &Done) {
   Time Until = ProcessClock::now() + WaitLimit;
-  while (!Done() && ProcessClock::now() < Until) {
+  bool IsDone = Done();
+  while (!IsDone && ProcessClock::now() < Until) {
     this->runFor(LoopStep);
+    IsDone = Done();
   }
-  return Done();
+  return IsDone;
 }
 
 uint32_t VersionWorld::startTarget(const std::string &Software) {
