Renew announcements of versions by a write that changes them

A write that changes nothing leaves a record's revision as it is, and the cleaning host removes records whose revision has not changed for their life. A process that lives and has announced a version had its announcement removed some 90 s later, and went on using the version for up to 20 s without one, so a stream that it began then and nobody knew would have been taken for one of the base version.

Each write of an announcement now has a number. The store of the tests keeps the revision of a record that does not change, as the platform's does; the new test fails with the announcements of the commit before.

--- a/src/records/record_codec.cpp
+++ b/src/records/record_codec.cpp
@@ -17,6 +17,7 @@
 static constexpr const char *CompleteField = "complete";
 static constexpr const char *BaseField = "base";
 static constexpr const char *EraField = "era";
+static constexpr const char *RenewalField = "renewal";
 
 static std::string encodeBase64(const std::string &Bytes) {
   std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
@@ -91,7 +92,7 @@
   return Streams;
 }
 
-std::string encodeVersions(const ServiceVersions &Versions) {
+static json servicesOf(const ServiceVersions &Versions) {
   json Services = json::object();
   for (const auto &Item : Versions) {
     json Ids = json::array();
@@ -107,7 +108,17 @@
       Out[EraField] = *Item.second.Era;
     }
   }
-  return json{{ServicesField, Services}}.dump();
+  return Services;
+}
+
+std::string encodeVersions(const ServiceVersions &Versions) {
+  return json{{ServicesField, servicesOf(Versions)}}.dump();
+}
+
+std::string encodeAnnouncement(const ServiceVersions &Versions,
+                               uint64_t Renewal) {
+  return json{{ServicesField, servicesOf(Versions)}, {RenewalField, Renewal}}
+      .dump();
 }
 
 ServiceVersions decodeVersions(const std::string &Content) {
--- a/src/records/record_codec_p.h
+++ b/src/records/record_codec_p.h
@@ -18,4 +18,10 @@
 /// Throws std::exception if \p Content is no such record.
 ServiceVersions decodeVersions(const std::string &Content);
 
+/// Encodes the versions that a process announces, as `decodeVersions` reads
+/// them. \p Renewal: number of the write. The store takes a write that changes
+/// nothing for none.
+std::string encodeAnnouncement(const ServiceVersions &Versions,
+                               uint64_t Renewal);
+
 } // namespace shallotlatch
--- a/src/records/version_announcer.cpp
+++ b/src/records/version_announcer.cpp
@@ -34,7 +34,8 @@
     Content[Item.first].Versions = Item.second;
   }
   return StoredRecord{this->Prefix + std::to_string(this->Number),
-                      this->Revision, encodeVersions(Content)};
+                      this->Revision,
+                      encodeAnnouncement(Content, ++this->Renewals)};
 }
 
 void VersionAnnouncer::onWritten(uint64_t NewRevision) {
--- a/src/records/version_announcer_p.h
+++ b/src/records/version_announcer_p.h
@@ -58,6 +58,7 @@
   std::string Prefix;
   uint32_t Number = 0;   ///< Of the record.
   uint64_t Revision = 0; ///< Of the record; 0: not written yet.
+  uint64_t Renewals = 0; ///< Writes so far.
   std::map<ServiceId, std::set<SoftwareId>> Wanted;
   std::map<ServiceId, std::set<SoftwareId>> Written; ///< The store has these.
   std::map<ServiceId, std::set<SoftwareId>>
--- a/tests/record_fleet.cpp
+++ b/tests/record_fleet.cpp
@@ -53,8 +53,10 @@
     return Reply;
   }
   StoredRecord &R = this->Records[Record.Name];
+  // A write that changes nothing leaves the revision as it is.
+  bool Changes = Held == 0 || R.Content != Record.Content;
   R = Record;
-  R.Revision = ++this->Revision;
+  R.Revision = Changes ? ++this->Revision : Held;
   this->BytesWritten += Record.Content.size();
   this->LargestRecord = std::max(this->LargestRecord, Record.Content.size());
   Reply.Result = RecordReply::Status::Ok;
--- a/tests/test_version_entry.cpp
+++ b/tests/test_version_entry.cpp
@@ -292,6 +292,22 @@
   CHECK(unrecorded() == V1);
 }
 
+// Guards against the announcement of a process that lives and is cleaned like
+// that of one that is gone.
+TEST(BaseVersions, doNotComeBackWhileAnAnnouncementIsRenewed) {
+  RecordHost &H = start("h");
+  pass(seconds(30), {V1});
+  pass(seconds(1), {V1, V2});
+  H.Archive.announcer().announce(Engines, V2);
+  pass(seconds(1), {V1, V2});
+  for (Time End = Now + seconds(300); Now < End;) {
+    pass(millis(100), {V1, V2});
+    CHECK(H.Archive.announcer().isAnnounced(Engines, V2, Now));
+    auto It = Store->Records.lower_bound(AnnouncementPrefix);
+    CHECK(It != Store->Records.end() && H.Archive.announcer().isOwn(It->first));
+  }
+}
+
 // What was announced since the copy is lost with it.
 TEST(BaseVersions, ofAStoreThatCameBackFromACopyTellNothing) {
   start("h");
