Do not hold back a version of the targets that other processes use

Cause: a process that starts again waited for 5 to 10 s before it announced the newer version, though others had announced it before. Its streams all went to the targets of the former version while those of the newer one stood empty.

Change: a process that starts while several versions serve reads the announcements beside the record of versions, and does not wait for a version that is announced there. A version that enters waits for callers of lost hosts only while no request waits for a target, and for 6 s at most.

--- a/src/records/stream_archive.cpp
+++ b/src/records/stream_archive.cpp
@@ -30,10 +30,6 @@
 static constexpr Duration FirstBackoff = millis(250);
 static constexpr uint32_t MaxBackoffDoublings = 4;
 
-static bool isAnnouncement(const std::string &Name) {
-  return Name.rfind(AnnouncementPrefix, 0) == 0;
-}
-
 StreamArchive::StreamArchive(RecordStore &Store, StreamArchiveEvents &Events,
                              const std::string &Owner)
     : Store(Store), Events(Events), Seed(hash64(Owner)),
@@ -85,7 +81,7 @@
     }
     if (this->WantsBases && Next.HasTargets &&
         CurrentTime >= this->NextBasesReadAt) {
-      this->readBases();
+      this->readAnnouncements();
     }
     std::optional<StoredRecord> Announcement =
         this->Announcer.takeWrite(CurrentTime);
@@ -181,12 +177,7 @@
       this->Recorded = decodeVersions(Record.Content);
       this->reportVersions(this->Recorded);
     } else if (isAnnouncement(Record.Name)) {
-      for (const auto &Item : decodeVersions(Record.Content)) {
-        if (!this->Announcer.isOwn(Record.Name)) {
-          this->Announced[Item.first].insert(Item.second.Versions.begin(),
-                                             Item.second.Versions.end());
-        }
-      }
+      this->collectAnnouncement(Record, this->Announced);
     } else {
       for (const StreamNote &Note : decodeStreamRecord(Record.Content)) {
         this->collect(Note);
@@ -230,6 +221,7 @@
         Unrecorded[Item.first] = Software;
       }
     }
+    this->Events.onAnnouncementsRead(this->Announced);
     this->Events.onUnrecordedVersions(Unrecorded);
     this->Events.onRecordsRead(this->Read.StartedAt);
   } else {
--- a/src/records/stream_archive_p.h
+++ b/src/records/stream_archive_p.h
@@ -37,6 +37,8 @@
   /// tells them, invalid for a service that has none. Services that may get one
   /// are left out.
   virtual void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) = 0;
+  /// \p Versions: those that other processes have announced.
+  virtual void onAnnouncementsRead(const AnnouncedVersions &Versions) = 0;
   /// \p Versions: those at which streams began that are in no record, as far as
   /// all records together tell. Comes before \p onRecordsRead.
   virtual void
@@ -101,7 +103,7 @@
     this->AllHostsAnnounce &= Host.AnnouncesVersions;
   }
   VersionAnnouncer &announcer() { return this->Announcer; }
-  /// Has the record of versions read.
+  /// Has the announcements and the record of versions read.
   void requestBases() { this->WantsBases = true; }
   /// Returns the time until the record of versions can be trusted; 0 if it can.
   Duration untilTrusted(Time Now) const;
@@ -131,12 +133,16 @@
   void endRead(bool Complete);
   void tickWrites(const KnownVersions &Known);
   void readVersions();
+  void readAnnouncements();
   void readBases();
   void reportVersions(const ServiceVersions &Versions);
   void reportBases(const ServiceVersions &Versions);
   /// Returns the version at which streams of a service began that are in no
   /// record; invalid if that is not known.
   SoftwareId unrecordedVersion(ServiceId Service, const VersionSet &Set) const;
+  /// Adds what a record announces, unless it is one of this process.
+  void collectAnnouncement(const StoredRecord &Record,
+                           AnnouncedVersions &Into) const;
   void writeAnnouncement(const StoredRecord &Record);
   void writeVersions(const StoredRecord &Record);
   void writeStreams(const StoredRecord &Record);
@@ -171,7 +177,7 @@
   std::unordered_map<StreamId, SoftwareId> Found;
   /// Versions that other processes announced, and what the record of versions
   /// says, in the records read so far.
-  std::map<ServiceId, std::set<SoftwareId>> Announced;
+  AnnouncedVersions Announced;
   ServiceVersions Recorded;
   ListCall Cleaning;
   Time NextCleaningAt;
--- a/src/records/stream_archive_versions.cpp
+++ b/src/records/stream_archive_versions.cpp
@@ -79,10 +79,41 @@
                           Done);
 }
 
-void StreamArchive::readBases() {
+void StreamArchive::collectAnnouncement(const StoredRecord &Record,
+                                        AnnouncedVersions &Into) const {
+  if (this->Announcer.isOwn(Record.Name)) {
+    return;
+  }
+  for (const auto &Item : decodeOrNone(Record)) {
+    Into[Item.first].insert(Item.second.Versions.begin(),
+                            Item.second.Versions.end());
+  }
+}
+
+// Announcements come first in the order of names. A page holds those of all
+// hosts of a fleet.
+void StreamArchive::readAnnouncements() {
   ++this->Counts.Reads;
   this->WantsBases = false;
   this->NextBasesReadAt = this->Now + BasesInterval;
+  auto Done = [this, Epoch = this->WriteEpoch](RecordReply &&Reply) {
+    if (Epoch != this->WriteEpoch || Reply.Result != RecordReply::Status::Ok) {
+      return;
+    }
+    AnnouncedVersions Versions;
+    for (const StoredRecord &Record : Reply.Records) {
+      if (isAnnouncement(Record.Name)) {
+        this->collectAnnouncement(Record, Versions);
+      }
+    }
+    this->Events.onAnnouncementsRead(Versions);
+    this->readBases();
+  };
+  this->Store.listRecords("", ReadConsistency::Linearizable, Done);
+}
+
+void StreamArchive::readBases() {
+  ++this->Counts.Reads;
   auto Done = [this, Epoch = this->WriteEpoch](RecordReply &&Reply) {
     if (Epoch != this->WriteEpoch || Reply.Result != RecordReply::Status::Ok) {
       return;
--- a/src/records/version_announcer_p.h
+++ b/src/records/version_announcer_p.h
@@ -14,6 +14,14 @@
 /// Begins the names of the records, which come before those of streams.
 constexpr const char *AnnouncementPrefix = "announced-";
 
+/// Versions that processes announce, by service.
+using AnnouncedVersions = std::map<ServiceId, std::set<SoftwareId>>;
+
+/// Returns whether a record of this name announces versions.
+inline bool isAnnouncement(const std::string &Name) {
+  return Name.rfind(AnnouncementPrefix, 0) == 0;
+}
+
 /// Time for which an announcement holds, from the sending of the last write
 /// that the store acknowledged. Its record has to stay for as long, and for the
 /// life of the streams that began by then.
@@ -59,8 +67,8 @@
   uint32_t Number = 0;   ///< Of the record.
   uint64_t Revision = 0; ///< Of the record; 0: not written yet.
   uint64_t Renewals = 0; ///< Writes so far.
-  std::map<ServiceId, std::set<SoftwareId>> Wanted;
-  std::map<ServiceId, std::set<SoftwareId>> Written; ///< The store has these.
+  AnnouncedVersions Wanted;
+  AnnouncedVersions Written; ///< The store has these.
   std::map<ServiceId, std::set<SoftwareId>>
       Writing;    ///< Of the write in flight.
   Time WrittenAt; ///< Sending of the write that `Written` is from.
--- a/src/relay_openings.cpp
+++ b/src/relay_openings.cpp
@@ -78,6 +78,8 @@
     View.BaseServes =
         View.Base && View.Base->isValid() &&
         this->service(Service).Places->scheduler().serves(*View.Base);
+    View.IsCrowded = this->service(Service).Places->hasBacklog(Now);
+    View.Announced = this->AnnouncedElsewhere[Service];
     for (SoftwareId Software : this->Openings.takeDue(Service, View, Now)) {
       logImportantEvent("version-due",
                         {{"service", toHex(Service.Value)},
@@ -89,6 +91,7 @@
     }
     if (this->Openings.isOver(Service, View, Now)) {
       Announcer.withdraw(Service);
+      this->AnnouncedElsewhere.erase(Service);
     }
   }
   bool IsDue =
@@ -125,6 +128,10 @@
   this->Origins.setBases(Bases);
 }
 
+void RequestRelay::onAnnouncementsRead(const AnnouncedVersions &Versions) {
+  this->AnnouncedElsewhere = Versions;
+}
+
 void RequestRelay::onUnrecordedVersions(
     const std::map<ServiceId, SoftwareId> &Versions) {
   this->UnrecordedVersions = Versions;
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -139,6 +139,7 @@
   void onRecordsRead(Time ReadAt) override;
   void onRecordsUnread() override;
   void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) override;
+  void onAnnouncementsRead(const AnnouncedVersions &Versions) override;
   void onUnrecordedVersions(
       const std::map<ServiceId, SoftwareId> &Versions) override;
   void receive(const PlacementReport &Book);
@@ -500,7 +501,8 @@
   std::map<PlacementId, Time> AwaitingOpening;
   /// See `StreamArchiveEvents::onUnrecordedVersions`, of the last read.
   std::map<ServiceId, SoftwareId> UnrecordedVersions;
-  uint64_t LastEra = 0; ///< Of the store; 0: not known yet.
+  AnnouncedVersions AnnouncedElsewhere; ///< By other processes, as last read.
+  uint64_t LastEra = 0;                 ///< Of the store; 0: not known yet.
   Time StartedAt;
   /// Requests that wait for the versions that began their streams.
   std::unordered_map<PlacementId, StreamSearch> Searches;
--- a/src/version_openings.cpp
+++ b/src/version_openings.cpp
@@ -5,7 +5,7 @@
 // Shortest and longest time from a version's entry to its announcement. Callers
 // of hosts that are lost as it enters return within the shortest.
 static constexpr Duration MinOpeningDelay = millis(2500);
-static constexpr Duration MaxOpeningDelay = seconds(10);
+static constexpr Duration MaxOpeningDelay = seconds(6);
 // Time after a loss of hosts within which most of their callers have returned.
 static constexpr Duration ReturnTime = seconds(5);
 // Time from the last note to peers until the store has what it tells.
@@ -14,13 +14,14 @@
 // Other hosts may have seen the other version a little longer.
 static constexpr Duration SingleTime = seconds(30);
 
-bool VersionOpenings::isDue(const Opening &O, Time SeenAt, Time Now) const {
+bool VersionOpenings::isDue(const Opening &O, Time SeenAt, bool IsCrowded,
+                            Time Now) const {
   if (Now < SeenAt + MinOpeningDelay) {
     return false;
   }
   bool Told = O.ToldAt && Now >= *O.ToldAt + RecordingTime;
   bool Returned = Now >= this->LastLoss + ReturnTime;
-  return (Told && Returned) || Now >= SeenAt + MaxOpeningDelay;
+  return (Told && (Returned || IsCrowded)) || Now >= SeenAt + MaxOpeningDelay;
 }
 
 std::vector<SoftwareId>
@@ -41,8 +42,9 @@
       O.ToldAt = Now;
     }
     bool IsBase = HasBase && Item.first == *View.Base;
+    bool MayWait = View.BaseServes && View.Announced.count(Item.first) == 0;
     if (!IsBase && !O.Taken &&
-        (!View.BaseServes || this->isDue(O, Item.second, Now))) {
+        (!MayWait || this->isDue(O, Item.second, View.IsCrowded, Now))) {
       O.Taken = true;
       Due.push_back(Item.first);
     }
--- a/src/version_openings_p.h
+++ b/src/version_openings_p.h
@@ -21,6 +21,11 @@
   Time OldestUntold = Time::max();
   /// A target of the base version takes new requests.
   bool BaseServes = false;
+  /// Requests wait for a target, of whatever version.
+  bool IsCrowded = false;
+  /// Versions that other processes have announced. A wait would not help those
+  /// who ask for unknown streams any more.
+  std::set<SoftwareId> Announced;
 };
 
 /// Decides which versions a host announces, and so begins streams at. Until the
@@ -28,8 +33,8 @@
 /// host knows can tell that it began at the base version. So a version that has
 /// entered waits until the streams of before were told, and until callers of
 /// hosts that were lost meanwhile have returned, unless streams would have
-/// nowhere else to begin. Its load is a few steps for each version and tick.
-/// Times are passed in.
+/// nowhere else to begin or another process has announced it. Its load is a few
+/// steps for each version and tick. Times are passed in.
 class VersionOpenings {
 public:
   explicit VersionOpenings(Time Start) : LastLoss(Start) {}
@@ -49,7 +54,7 @@
     std::optional<Time> ToldAt; ///< When the streams of before had been told.
     bool Taken = false;
   };
-  bool isDue(const Opening &O, Time SeenAt, Time Now) const;
+  bool isDue(const Opening &O, Time SeenAt, bool IsCrowded, Time Now) const;
 
   Time LastLoss; ///< Of hosts, or the start of this process.
   std::map<ServiceId, std::map<SoftwareId, Opening>> Openings;
--- a/tests/entry_fleet.cpp
+++ b/tests/entry_fleet.cpp
@@ -167,6 +167,7 @@
   View.IsIndefinite = P.Origins.isBaseIndefinite(Service);
   View.OldestUntold = P.Origins.oldestUntold(Service);
   std::vector<SoftwareId> Seen = this->seenBy(H);
+  View.Announced = P.Announced[Service];
   View.BaseServes =
       View.Base && std::count(Seen.begin(), Seen.end(), *View.Base) != 0;
   for (SoftwareId Software : H.Openings->takeDue(Service, View, this->Now)) {
--- a/tests/record_fleet.h
+++ b/tests/record_fleet.h
@@ -115,6 +115,9 @@
   void onBasesRead(const std::map<ServiceId, SoftwareId> &Bases) override {
     this->Origins.setBases(Bases);
   }
+  void onAnnouncementsRead(const AnnouncedVersions &Versions) override {
+    this->Announced = Versions;
+  }
   void onUnrecordedVersions(
       const std::map<ServiceId, SoftwareId> &Versions) override {
     this->Unrecorded = Versions;
@@ -136,6 +139,7 @@
   std::shared_ptr<FakeRecordStore> Store;
   /// Versions of streams that no record holds, as of the last read.
   std::map<ServiceId, SoftwareId> Unrecorded;
+  AnnouncedVersions Announced; ///< By others, as last read.
   Time Now;
   StreamOrigins Origins;
   StreamArchive Archive;
