Do not rank streams that go on by the objective of their first event

Cause: the time since a caller's first attempt counted against the objective of the first event. A stream that broke had its first event before, so its caller has mostly spent more than the objective; it came after all new requests and was refused by the wait that late requests have.

Change: a stream that goes on is ranked by its arrival.

ResumedWaits fails before; its second test guards that other late requests still come after those in time.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -275,7 +275,9 @@
   Placement.Objective = R.MatchedRoute->Objective;
   Placement.Arrived = R.Request.ReceivedAt;
   Placement.Deadline = R.Deadline;
-  Placement.FirstAttempt = R.Request.ReceivedAt - R.PriorAttemptTime;
+  // The objective ends with the first event, which came before a stream broke.
+  Placement.FirstAttempt =
+      R.Request.ReceivedAt - (goesOn(R) ? Duration(0) : R.PriorAttemptTime);
   Placement.RefusedBefore = R.PriorAttemptTime.count() > 0;
   Placement.Repeatable = R.MatchedRoute->repeatable();
   Placement.Stream = R.MatchedRoute->Kind == RouteKind::Stream;
