Do not take a record of versions from before a copy for complete

Cause: the host read the record of versions, which named one version as the only one, and took it for the whole history, so that streams which nobody knew counted as begun there. The store had come back from a copy in which that version was the only one, and refused calls for 2.8 s, so no host had written the record again as the time for that was over.

Change: a record that names its era vouches for the history in this era only. Who has seen all versions writes the record again with the new era, and a host that started after the return knows the history once it has run for the life of a stream, as without a record. Records of earlier releases, which name no era, count as before.

--- a/src/records/stream_archive_versions.cpp
+++ b/src/records/stream_archive_versions.cpp
@@ -36,8 +36,14 @@
   return IsKnown && OnlyBase ? Base : SoftwareId();
 }
 
+// A record that the store came back with may be older than streams that go on.
 void StreamArchive::reportVersions(const ServiceVersions &Versions) {
-  this->Events.onVersionsRead(Versions, this->isTrusted());
+  ServiceVersions Current = Versions;
+  for (auto &Item : Current) {
+    Item.second.IsComplete &=
+        !Item.second.Era || *Item.second.Era == this->View.Era;
+  }
+  this->Events.onVersionsRead(Current, this->isTrusted());
   this->reportBases(Versions);
 }
 
--- a/tests/test_version_entry.cpp
+++ b/tests/test_version_entry.cpp
@@ -272,6 +272,31 @@
   CHECK(recorded().baseIn(Store->Era) == V2);
 }
 
+// Guards against streams that go on at another version because the only version
+// of a record from before the copy counted as the only one until now.
+TEST(BaseVersions, aRecordThatTheStoreCameBackWithVouchesForNoHistory) {
+  start("h");
+  pass(seconds(30), {V1});
+  Store->copy();
+  pass(seconds(5), {V1, V2});
+  Hosts.clear();
+  Store->restore();
+  pass(seconds(3), {});
+  RecordHost &Later = start("later");
+  pass(seconds(5), {V1});
+  CHECK_FALSE(Later.Origins.soleVersion(Engines, Now).has_value());
+}
+
+TEST(BaseVersions, aRecordOfTheSameEraVouchesForTheHistory) {
+  start("h");
+  pass(seconds(30), {V1});
+  Hosts.clear();
+  pass(seconds(3), {});
+  RecordHost &Later = start("later");
+  pass(seconds(5), {V1});
+  CHECK(Later.Origins.soleVersion(Engines, Now) == V1);
+}
+
 TEST(BaseVersions, endWithTheFirstAnnouncementOfAnother) {
   RecordHost &H = start("h");
   pass(seconds(30), {V1});
